--- /dev/null
+++ b/crates/simhost/src/host.rs
@@ -0,0 +1,261 @@
+//! Instances of the decision module, their commands in hand and their timers. Nothing is decided here.
+
+use crate::wire::{entry_chunks, report_at, u16_at, u32_at, u64_at, Batch, Reply};
+use slab::Slab;
+use std::collections::hash_map::DefaultHasher;
+use std::collections::HashMap;
+use std::hash::BuildHasherDefault;
+use yarrowfront::command::{Command, Outcome};
+use yarrowfront::decide::{Balancer, Errand, ListKind, Listed, Say, State};
+use yarrowfront::ids::{BackendId, CommandId, CustomerId, GroupId, Hand, KindId, ProfileId, ZoneId};
+use yarrowfront::terms::Terms;
+use yarrowfront::times::{Moment, Span};
+
+type Map<K, V> = HashMap<K, V, BuildHasherDefault<DefaultHasher>>;
+
+/// The timer that is the node's own and no command's.
+const UPKEEP: u64 = u64::MAX;
+
+struct InHand {
+    command: Command,
+    /// The moment of its last timer.
+    armed: Option<Moment>,
+}
+
+struct Instance {
+    number: u32,
+    node: Balancer,
+    profiles: usize,
+    hands: Slab<InHand>,
+    by_id: Map<u32, usize>,
+    armed: Option<Moment>,
+}
+
+#[derive(Default)]
+pub struct Host {
+    instances: Map<u32, Instance>,
+}
+
+fn micros(nanos: u64) -> Span {
+    Span(nanos / 1000)
+}
+
+fn outcome(code: u16) -> Result<Outcome, String> {
+    Ok(match code {
+        100 => Outcome::Finished,
+        301 => Outcome::Errored,
+        302 => Outcome::Full,
+        303 => Outcome::TimedOut,
+        304 => Outcome::Unreachable,
+        305 => Outcome::Broken,
+        306 => Outcome::Cancelled,
+        307 => Outcome::Unsent,
+        _ => return Err(format!("code: unknown outcome {code}")),
+    })
+}
+
+fn listed(entry: &[u8]) -> Result<Listed, String> {
+    Ok(Listed {
+        backend: BackendId(u32_at(entry, 0)),
+        zone: ZoneId(u16_at(entry, 4)),
+        kind: KindId(entry[6]),
+        group: GroupId(u16_at(entry, 7)),
+        state: match entry[9] {
+            0 => State::Gone,
+            1 => State::Ready,
+            2 => State::Draining,
+            other => return Err(format!("members.status: unknown state {other}")),
+        },
+        started: Moment(u64_at(entry, 14) / 1000),
+    })
+}
+
+impl Host {
+    pub fn batch(&mut self, batch: &Batch, reply: &mut Reply) -> Result<(), String> {
+        let now = Moment(batch.nanos() / 1000);
+        let mut last = None;
+        for event in batch.events() {
+            let number = u32_at(event, 1);
+            if last.is_some_and(|l| l != number) {
+                self.upkeep(last, now, reply);
+            }
+            last = Some(number);
+            match event[0] {
+                10 => self.start(number, now, event, batch, reply)?,
+                100 => drop(self.instances.remove(&number)),
+                _ => match self.instances.get_mut(&number) {
+                    Some(instance) => instance.event(now, event, batch, reply)?,
+                    None if matches!(event[0], 20 | 30 | 40 | 50 | 60 | 70 | 80 | 90) => {}
+                    None => return Err(format!("code: unknown event {}", event[0])),
+                },
+            }
+        }
+        self.upkeep(last, now, reply);
+        Ok(())
+    }
+
+    fn upkeep(&mut self, number: Option<u32>, now: Moment, reply: &mut Reply) {
+        if let Some(instance) = number.and_then(|n| self.instances.get_mut(&n)) {
+            instance.upkeep(now, reply);
+        }
+    }
+
+    fn start(
+        &mut self,
+        number: u32,
+        now: Moment,
+        event: &[u8],
+        batch: &Batch,
+        reply: &mut Reply,
+    ) -> Result<(), String> {
+        match Terms::from_json(batch.bytes(event, 13, "params")?) {
+            Ok(terms) => {
+                let profiles = terms.profiles.len();
+                let node = Balancer::new(terms, u64_at(event, 5), now);
+                let (hands, by_id) = (Slab::new(), Map::default());
+                self.instances.insert(number, Instance { number, node, profiles, hands, by_id, armed: None });
+            }
+            Err(text) => reply.text(100, number, &text),
+        }
+        Ok(())
+    }
+}
+
+impl Instance {
+    fn event(&mut self, now: Moment, event: &[u8], batch: &Batch, reply: &mut Reply) -> Result<(), String> {
+        match event[0] {
+            20 => {
+                let kind = match event[5] {
+                    0 => ListKind::Changes,
+                    1 => ListKind::Whole,
+                    2 => ListKind::Cached,
+                    3 => ListKind::Failed,
+                    other => return Err(format!("how: unknown kind of list {other}")),
+                };
+                let entries = batch.entries(event, 10, "members")?;
+                for entry in entry_chunks(entries) {
+                    listed(entry)?;
+                }
+                self.node.list(now, kind, entry_chunks(entries).filter_map(|e| listed(e).ok()));
+            }
+            30 => self.command(now, event, reply)?,
+            // No profile here streams its answer: its start changes nothing.
+            40 => {}
+            50 => {
+                let (values, count) = report_at(event, 25)?;
+                let backend = BackendId(u32_at(event, 10));
+                let outcome = outcome(u16_at(event, 14))?;
+                if let Some(&key) = self.by_id.get(&u32_at(event, 5)) {
+                    let command = &mut self.hands[key].command;
+                    command.closed |= event[24] != 0;
+                    let say = self.node.after(now, Hand(key as u32), command, event[9], outcome);
+                    self.say(now, key, say, reply);
+                }
+                self.node.report(now, backend, true, None, &values[..count]);
+            }
+            60 => {
+                if let Some(&key) = self.by_id.get(&u32_at(event, 5)) {
+                    self.node.dropped(&mut self.hands[key].command);
+                    self.settle(now, key, reply);
+                }
+            }
+            70 => {
+                let token = u64_at(event, 5);
+                let key = (token >> 32) as usize;
+                if token == UPKEEP {
+                    self.armed = None;
+                } else if self.hands.get(key).is_some_and(|h| h.command.id.0 == token as u32) {
+                    self.again(now, key, reply);
+                }
+            }
+            80 => {
+                let (values, count) = report_at(event, 19)?;
+                let found = u16_at(event, 5) == 100;
+                let trip = micros(u64_at(event, 11));
+                let backend = BackendId(u32_at(event, 7));
+                self.node.report(now, backend, found, Some(trip), &values[..count]);
+            }
+            90 => {}
+            other => return Err(format!("code: unknown event {other}")),
+        }
+        Ok(())
+    }
+
+    fn command(&mut self, now: Moment, event: &[u8], reply: &mut Reply) -> Result<(), String> {
+        let profile = u16_at(event, 9);
+        if usize::from(profile) >= self.profiles {
+            return Err(format!("band: there is no profile {profile}"));
+        }
+        let id = CommandId(u32_at(event, 5));
+        let customer = CustomerId(u32_at(event, 11));
+        let mut command = Command::new(id, ProfileId(profile), customer, now, micros(u64_at(event, 23)));
+        let attrs = u16_at(event, 39);
+        command.hint = (attrs & 1 != 0).then(|| micros(u64_at(event, 31)));
+        command.repeat = attrs & 2 != 0;
+        let key = self.hands.insert(InHand { command, armed: None });
+        self.by_id.insert(id.0, key);
+        self.again(now, key, reply);
+        Ok(())
+    }
+
+    fn again(&mut self, now: Moment, key: usize, reply: &mut Reply) {
+        let say = self.node.place(now, Hand(key as u32), &mut self.hands[key].command);
+        self.say(now, key, say, reply);
+    }
+
+    fn say(&mut self, now: Moment, key: usize, say: Say, reply: &mut Reply) {
+        let id = self.hands[key].command.id.0.to_be_bytes();
+        match say {
+            Say::Launch(backend) => reply.action(10, self.number, &[&id, &backend.0.to_be_bytes()]),
+            Say::NotYet => {}
+            Say::TurnBack(span) => reply.action(20, self.number, &[&id, &(span.0 * 1000).to_be_bytes()]),
+            Say::Errored => reply.action(30, self.number, &[&id]),
+        }
+        self.settle(now, key, reply);
+    }
+
+    /// Lets go of a command that is over, or sets its next timer.
+    fn settle(&mut self, now: Moment, key: usize, reply: &mut Reply) {
+        let hand = &mut self.hands[key];
+        if hand.command.closed && hand.command.out() == 0 {
+            self.by_id.remove(&hand.command.id.0);
+            self.hands.remove(key);
+            return;
+        }
+        if let Some(span) = self.node.wait(now, Some(&hand.command)) {
+            if hand.armed != Some(now + span) {
+                hand.armed = Some(now + span);
+                let token = (key as u64) << 32 | u64::from(hand.command.id.0);
+                timer(self.number, span, token, reply);
+            }
+        }
+    }
+
+    fn upkeep(&mut self, now: Moment, reply: &mut Reply) {
+        while let Some(errand) = self.node.errand(now) {
+            match errand {
+                Errand::Probe(backend) => reply.action(60, self.number, &[&backend.0.to_be_bytes()]),
+                Errand::Follow => reply.action(110, self.number, &[&[1]]),
+                Errand::Cancel(command, launch) => {
+                    reply.action(40, self.number, &[&command.0.to_be_bytes(), &[launch]]);
+                }
+                Errand::Again(hand) => {
+                    if self.hands.contains(hand.0 as usize) {
+                        self.again(now, hand.0 as usize, reply);
+                    }
+                }
+            }
+        }
+        if let Some(span) = self.node.wait(now, None) {
+            if self.armed.is_none_or(|at| now + span < at) {
+                self.armed = Some(now + span);
+                timer(self.number, span, UPKEEP, reply);
+            }
+        }
+    }
+}
+
+fn timer(instance: u32, span: Span, token: u64, reply: &mut Reply) {
+    let nanos = (span.0 * 1000).max(1);
+    reply.action(50, instance, &[&nanos.to_be_bytes(), &token.to_be_bytes()]);
+}
--- /dev/null
+++ b/src/command.rs
@@ -0,0 +1,114 @@
+//! A command in hand and what became of its launches.
+
+use crate::ids::{BackendId, CommandId, CustomerId, GroupId, ProfileId, ZoneId};
+use crate::times::{Moment, Span};
+
+/// How a launch ended, as the caller saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Finished,
+    /// The backend answered with an error: it may have run.
+    Errored,
+    /// Sent back unseen: full or draining.
+    Full,
+    TimedOut,
+    /// No connection: it never ran.
+    Unreachable,
+    Broken,
+    Cancelled,
+    /// It was never sent.
+    Unsent,
+}
+
+impl Outcome {
+    pub fn proves_not_run(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::Unreachable | Outcome::Unsent)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    Out,
+    NotRun,
+    MayHaveRun,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Launch {
+    pub backend: BackendId,
+    pub zone: ZoneId,
+    pub group: GroupId,
+    pub sent: Moment,
+    pub fate: Fate,
+    /// Expected work, and the expected work ahead of it with its own, both in standard microseconds.
+    pub cost: f64,
+    pub ahead: f64,
+    /// Own launches in flight at the backend with this one.
+    pub depth: u32,
+}
+
+/// Launches a command can have at most, whatever the settings allow.
+pub const MOST_LAUNCHES: usize = 8;
+
+#[derive(Clone, Debug)]
+pub struct Command {
+    pub id: CommandId,
+    pub profile: ProfileId,
+    pub customer: CustomerId,
+    pub arrived: Moment,
+    /// When the client gives this try up.
+    pub ends: Moment,
+    pub hint: Option<Span>,
+    pub repeat: bool,
+    pub closed: bool,
+    pub(crate) seen: bool,
+    pub(crate) waiting: bool,
+    pub(crate) look_at: Moment,
+    pub(crate) value: f64,
+    pub(crate) order: u64,
+    launches: [Option<Launch>; MOST_LAUNCHES],
+    count: u8,
+}
+
+impl Command {
+    pub fn new(id: CommandId, profile: ProfileId, customer: CustomerId, now: Moment, left: Span) -> Command {
+        Command {
+            id,
+            profile,
+            customer,
+            arrived: now,
+            ends: now + left,
+            hint: None,
+            repeat: false,
+            closed: false,
+            seen: false,
+            waiting: false,
+            look_at: Moment(u64::MAX),
+            value: 0.0,
+            order: 0,
+            launches: [None; MOST_LAUNCHES],
+            count: 0,
+        }
+    }
+
+    pub fn launches(&self) -> impl Iterator<Item = &Launch> {
+        self.launches.iter().flatten()
+    }
+
+    pub fn launch(&mut self, number: u8) -> Option<&mut Launch> {
+        self.launches.get_mut(usize::from(number))?.as_mut()
+    }
+
+    pub fn launched(&self) -> usize {
+        usize::from(self.count)
+    }
+
+    pub fn out(&self) -> usize {
+        self.launches().filter(|l| l.fate == Fate::Out).count()
+    }
+
+    pub(crate) fn add(&mut self, launch: Launch) {
+        self.launches[usize::from(self.count)] = Some(launch);
+        self.count += 1;
+    }
+}
--- /dev/null
+++ b/src/decide.rs
@@ -0,0 +1,835 @@
+//! All decisions of one node: distributed Join-Idle-Queue without token withdrawals (docs/design.md).
+//!
+//! The caller keeps commands and timers in hand and asks three things: `place` (where does this command go:
+//! a backend, not yet, or never), `after` (what follows this outcome) and `wait` (how long until asking
+//! again, for a command or for the node itself). Facts are told through `list`, `report` and `dropped`.
+//! What the node wants besides (probes, list calls, cancels, asking a held command again) comes out of
+//! `errand` as plain values. Nothing here blocks, reads a clock or touches a socket; a second protocol would
+//! use the same calls. The interface is young and may change until a node on sockets uses it.
+
+use crate::command::{Command, Fate, Launch, Outcome, MOST_LAUNCHES};
+use crate::ids::{BackendId, CommandId, GroupId, Hand, KindId, ZoneId};
+use crate::terms::{Among, Effect, Terms};
+use crate::times::{Moment, Span};
+use std::collections::hash_map::DefaultHasher;
+use std::collections::BTreeMap;
+use std::hash::Hasher;
+
+/// What to do with a command now. `NotYet` leaves it in hand, held or with a launch out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Say {
+    Launch(BackendId),
+    NotYet,
+    TurnBack(Span),
+    Errored,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Errand {
+    Probe(BackendId),
+    Follow,
+    Cancel(CommandId, u8),
+    /// Ask `place` for this held command again.
+    Again(Hand),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    Changes,
+    Whole,
+    Cached,
+    Failed,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    Gone,
+    Ready,
+    Draining,
+}
+
+/// One line of the list of backends.
+#[derive(Clone, Copy, Debug)]
+pub struct Listed {
+    pub backend: BackendId,
+    pub zone: ZoneId,
+    pub kind: KindId,
+    pub group: GroupId,
+    pub state: State,
+    pub started: Moment,
+}
+
+struct Backend {
+    listed: Listed,
+    token: Option<Moment>,
+    served: bool,
+    in_flight: u32,
+    /// Expected work of our launches in flight, in standard microseconds.
+    pending: f64,
+    /// Work given up on that may still fill the backend, as of `ghost_at`.
+    ghost: f64,
+    ghost_at: Moment,
+    /// Since when it has owed us an answer without giving any.
+    quiet_since: Moment,
+    /// Time taken for each unit of expected work ahead; and the same where nothing was ahead.
+    pace: f64,
+    solo: f64,
+    answers: u32,
+    cap: f64,
+    good: f64,
+    bad: f64,
+    weighed_at: Moment,
+    /// Commands of others there, by the last report.
+    others: f64,
+    report_at: Moment,
+    probe_out: Option<Moment>,
+    /// The last probe found nobody.
+    down: bool,
+    poured: f64,
+    poured_at: Moment,
+}
+
+/// What is learned by profile: work for each unit of hint (or for each command, without hints).
+struct Row {
+    scale: f64,
+    mean: f64,
+}
+
+struct Held {
+    value: f64,
+    order: u64,
+    hand: Hand,
+    latest: Moment,
+}
+
+pub struct Balancer {
+    terms: Terms,
+    seed: u64,
+    draws: u64,
+    backends: Vec<Backend>,
+    index: BTreeMap<BackendId, usize>,
+    ready: Vec<usize>,
+    pool: Vec<usize>,
+    rows: Vec<Row>,
+    quotas: Vec<(f64, Moment)>,
+    kind_pace: BTreeMap<KindId, f64>,
+    /// Commands held, the next one to go last.
+    held: Vec<Held>,
+    errands: Vec<Errand>,
+    order: u64,
+    margin: f64,
+    copies: f64,
+    pressure: f64,
+    probes: f64,
+    probe_trip: f64,
+    tick_at: Moment,
+    follow_at: Moment,
+    failures: u32,
+}
+
+/// The proposal's expiry and exploring share.
+const TOKEN_EXPIRY: Span = Span::millis(2000);
+const EXPLORE: f64 = 0.1;
+
+impl Balancer {
+    pub fn new(terms: Terms, seed: u64, now: Moment) -> Balancer {
+        let rows = terms.profiles.iter().map(|_| Row { scale: 0.0, mean: 0.0 }).collect();
+        let quotas = terms.customers.iter().map(|_| (0.0, now)).collect();
+        let must_ask = terms.must_ask;
+        let mut node = Balancer {
+            terms,
+            seed,
+            draws: 0,
+            backends: Vec::new(),
+            index: BTreeMap::new(),
+            ready: Vec::new(),
+            pool: Vec::new(),
+            rows,
+            quotas,
+            kind_pace: BTreeMap::new(),
+            held: Vec::new(),
+            errands: Vec::new(),
+            order: 0,
+            margin: 1.6,
+            copies: 2.0,
+            pressure: 0.0,
+            probes: 0.0,
+            probe_trip: 0.0,
+            tick_at: now,
+            follow_at: Moment(u64::MAX),
+            failures: 0,
+        };
+        if must_ask {
+            // Nodes that start together must not call together: a spread of a tenth of a second.
+            node.follow_at = now + Span::millis(100).scaled(node.unit());
+        }
+        node
+    }
+
+    fn chance(&mut self) -> u64 {
+        self.draws += 1;
+        let mut hasher = DefaultHasher::new();
+        hasher.write_u64(self.seed);
+        hasher.write_u64(self.draws);
+        hasher.finish()
+    }
+
+    /// A draw from [0, 1).
+    fn unit(&mut self) -> f64 {
+        (self.chance() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    // ---- the three calls ----
+
+    /// Where to send this command: a backend, not yet, or never. Also asked when its `wait` is over.
+    pub fn place(&mut self, now: Moment, hand: Hand, command: &mut Command) -> Say {
+        if command.closed {
+            return Say::NotYet;
+        }
+        if !command.seen {
+            self.meet(now, command);
+        }
+        if command.out() > 0 {
+            return self.second_copy(now, command);
+        }
+        if let Some(i) = self.choose(now, command) {
+            return self.launch(now, command, i);
+        }
+        self.hold(now, hand, command)
+    }
+
+    /// What to do after this outcome of a launch.
+    pub fn after(
+        &mut self,
+        now: Moment,
+        hand: Hand,
+        command: &mut Command,
+        number: u8,
+        outcome: Outcome,
+    ) -> Say {
+        let Some(launch) = command.launch(number).filter(|l| l.fate == Fate::Out) else {
+            return Say::NotYet;
+        };
+        launch.fate = if outcome.proves_not_run() { Fate::NotRun } else { Fate::MayHaveRun };
+        let launch = *launch;
+        self.learn(now, command, &launch, outcome);
+        if let Some(next) = self.held.last() {
+            self.errands.push(Errand::Again(next.hand));
+        }
+        if command.closed || outcome == Outcome::Finished {
+            if outcome == Outcome::Finished && self.terms.may_cancel {
+                for (n, other) in command.launches().enumerate() {
+                    if other.fate == Fate::Out {
+                        self.errands.push(Errand::Cancel(command.id, n as u8));
+                    }
+                }
+            }
+            return Say::NotYet;
+        }
+        if command.out() > 0 {
+            return Say::NotYet;
+        }
+        if now < self.goal_end(command) && self.may_launch(now, command) && self.copies >= 1.0 {
+            self.copies -= 1.0;
+            return self.place(now, hand, command);
+        }
+        self.give_up(now, command)
+    }
+
+    /// How long until `place` should be asked again for this command, or `errand` for the node (`None`).
+    pub fn wait(&self, now: Moment, command: Option<&Command>) -> Option<Span> {
+        let at = match command {
+            Some(command) => command.look_at,
+            None => self.tick_at.min(self.follow_at),
+        };
+        (at < Moment(u64::MAX)).then(|| at.since(now))
+    }
+
+    // ---- facts told ----
+
+    /// The client has gone: nothing more is owed.
+    pub fn dropped(&mut self, command: &mut Command) {
+        self.unhold(command);
+        command.closed = true;
+        command.look_at = Moment(u64::MAX);
+    }
+
+    pub fn list(&mut self, now: Moment, kind: ListKind, lines: impl Iterator<Item = Listed>) {
+        if kind == ListKind::Failed {
+            // Backing off from a tenth of a second, spread by half, and always well inside the asking term.
+            let pause = Span::millis(100 << self.failures.min(5)).min(Span(self.terms.ask_within.0 / 4));
+            self.failures += 1;
+            self.follow_at = now + pause.scaled(0.5 + self.unit());
+            return;
+        }
+        if kind != ListKind::Cached && self.terms.must_ask {
+            self.failures = 0;
+            self.follow_at = Moment(u64::MAX);
+        }
+        if kind != ListKind::Changes {
+            for backend in &mut self.backends {
+                backend.listed.state = State::Gone;
+            }
+        }
+        for line in lines {
+            self.line(now, line);
+        }
+        self.ready.clear();
+        for (i, backend) in self.backends.iter_mut().enumerate() {
+            if backend.listed.state == State::Ready {
+                self.ready.push(i);
+            } else {
+                backend.token = None;
+            }
+        }
+        if let Some(next) = self.held.last() {
+            self.errands.push(Errand::Again(next.hand));
+        }
+    }
+
+    fn line(&mut self, now: Moment, line: Listed) {
+        let kind_pace = self.kind_pace.get(&line.kind).copied().unwrap_or(1.0);
+        let fresh = Backend {
+            listed: line,
+            token: None,
+            served: false,
+            in_flight: 0,
+            pending: 0.0,
+            ghost: 0.0,
+            ghost_at: now,
+            quiet_since: now,
+            pace: kind_pace / self.warmth(now, line.started),
+            solo: kind_pace,
+            answers: 0,
+            cap: 1.0,
+            good: 0.0,
+            bad: 0.0,
+            weighed_at: now,
+            others: 0.0,
+            report_at: Moment(0),
+            probe_out: None,
+            down: false,
+            poured: 0.0,
+            poured_at: now,
+        };
+        match self.index.get(&line.backend) {
+            None => {
+                self.index.insert(line.backend, self.backends.len());
+                self.backends.push(fresh);
+            }
+            Some(&i) if self.backends[i].listed.started < line.started => {
+                // It has started anew: all learned is void, but our launches there are still owed outcomes.
+                let (in_flight, pending) = (self.backends[i].in_flight, self.backends[i].pending);
+                self.backends[i] = Backend { in_flight, pending, ..fresh };
+            }
+            Some(&i) => self.backends[i].listed = line,
+        }
+    }
+
+    /// A load report, or a probe that found nobody.
+    pub fn report(
+        &mut self,
+        now: Moment,
+        backend: BackendId,
+        found: bool,
+        trip: Option<Span>,
+        values: &[f32],
+    ) {
+        let Some(&i) = self.index.get(&backend) else { return };
+        let b = &mut self.backends[i];
+        if let Some(trip) = trip {
+            b.probe_out = None;
+            b.down = !found;
+            if found {
+                self.probe_trip += 0.05 * (trip.micros() - self.probe_trip);
+            }
+        }
+        let held = self.terms.report_held.and_then(|at| values.get(at)).copied();
+        let queued = self.terms.report_queued.and_then(|at| values.get(at)).copied();
+        let Some(held) = held.or(queued) else { return };
+        // Reports carry a little noise: less than half a command is none.
+        let held = f64::from(held.max(queued.unwrap_or(0.0))).round();
+        b.others = (held - f64::from(b.in_flight)).max(0.0);
+        b.report_at = now;
+        if held == 0.0 && b.in_flight == 0 {
+            b.ghost = 0.0;
+            if b.served && b.listed.state == State::Ready {
+                b.token = Some(now);
+            }
+            if let Some(next) = self.held.last() {
+                self.errands.push(Errand::Again(next.hand));
+            }
+        }
+    }
+
+    /// The next thing the node wants done, until there is none.
+    pub fn errand(&mut self, now: Moment) -> Option<Errand> {
+        if let Some(errand) = self.errands.pop() {
+            return Some(errand);
+        }
+        if now >= self.follow_at {
+            // An answer always comes; should it not, ask again within the asking term.
+            self.follow_at = now + Span(self.terms.ask_within.0 / 2);
+            return Some(Errand::Follow);
+        }
+        if now >= self.tick_at {
+            self.tick(now);
+            return self.errands.pop();
+        }
+        None
+    }
+
+    // ---- the ordinary path ----
+
+    fn meet(&mut self, now: Moment, command: &mut Command) {
+        command.seen = true;
+        self.order += 1;
+        command.order = self.order;
+        // A tenth of the commands may be launched again, with a small store for a sudden loss.
+        self.copies = (self.copies + 0.1).min(10.0);
+        // Probes are bought for at most four thousandths of a command each.
+        self.probes = (self.probes + (0.004 / self.terms.probe_price.max(1e-4)).min(4.0)).min(40.0);
+        let cost = self.cost(command);
+        let profile = &self.terms.profiles[usize::from(command.profile.0)];
+        let mut value = profile.payoff;
+        if !self.terms.payoff_by_work {
+            value /= cost.max(1.0);
+        }
+        let nodes = f64::from(self.terms.nodes.max(1));
+        if let Some((level, at)) = self.quotas.get_mut(command.customer.0 as usize) {
+            // Each node lets through its part of a customer's quota, a second's worth at once.
+            let quota = self.terms.customers[command.customer.0 as usize].quota_per_s / nodes;
+            *level = (*level + quota * now.since(*at).micros() / 1e6).min(quota.max(1.0));
+            *at = now;
+            if *level >= 1.0 {
+                *level -= 1.0;
+            } else {
+                value *= self.terms.surplus_payoff;
+            }
+        }
+        // A client's repeat has spent part of its goal time somewhere else.
+        command.value = if command.repeat { value * 0.5 } else { value };
+    }
+
+    fn goal_end(&self, command: &Command) -> Moment {
+        let profile = &self.terms.profiles[usize::from(command.profile.0)];
+        (command.arrived + profile.goal_time).min(command.ends)
+    }
+
+    /// Expected work in standard microseconds.
+    fn cost(&self, command: &Command) -> f64 {
+        let row = &self.rows[usize::from(command.profile.0)];
+        match command.hint {
+            Some(hint) if row.scale > 0.0 => hint.micros() * row.scale,
+            Some(hint) => hint.micros(),
+            None => row.mean,
+        }
+    }
+
+    /// Where this command may still go: everywhere, or for a tagged one that may have run, where and until.
+    fn bounds(&self, command: &Command) -> Bounds {
+        let profile = &self.terms.profiles[usize::from(command.profile.0)];
+        let mut bounds =
+            Bounds { launch: true, turn_back: true, until: Moment(u64::MAX), zone: None, group: None };
+        let Some(ran) = command.launches().find(|l| l.fate != Fate::NotRun) else { return bounds };
+        match (profile.effect, profile.among) {
+            (Effect::Repeatable, _) => {}
+            (Effect::OnceOnly, _) => (bounds.launch, bounds.turn_back) = (false, false),
+            (Effect::Tagged, among) => {
+                // A microsecond less: spans are counted from the send on a finer clock.
+                bounds.until = ran.sent + profile.memory_span - Span(1);
+                bounds.turn_back = among == Among::All;
+                bounds.zone = (among == Among::Zone).then_some(ran.zone);
+                bounds.group = (among == Among::Group).then_some(ran.group);
+            }
+        }
+        bounds
+    }
+
+    fn may_launch(&self, now: Moment, command: &Command) -> bool {
+        let bounds = self.bounds(command);
+        let most = self.terms.most_launches.min(MOST_LAUNCHES);
+        bounds.launch && now < bounds.until && now < command.ends && command.launched() < most
+    }
+
+    /// Expected time for work there, with all that is ahead of it.
+    fn expected(&self, now: Moment, b: &Backend, cost: f64) -> f64 {
+        let mut ahead = self.ahead(now, b) * b.pace;
+        if b.in_flight > 0 {
+            // A silence lasts about as long again as it has lasted.
+            ahead = ahead.max(now.since(b.quiet_since).micros());
+        }
+        ahead + cost * b.pace
+    }
+
+    fn ahead(&self, now: Moment, b: &Backend) -> f64 {
+        let ghost = (b.ghost - now.since(b.ghost_at).micros() / b.pace).max(0.0);
+        let mean = self.rows.iter().map(|r| r.mean).fold(0.0, f64::max);
+        // A report tells little once the commands it counted have been worked off.
+        let age = now.since(b.report_at).micros();
+        let others = (b.others * mean - age / b.pace).max(0.0);
+        b.pending + ghost.max(others)
+    }
+
+    fn choose(&mut self, now: Moment, command: &Command) -> Option<usize> {
+        if !self.may_launch(now, command) {
+            return None;
+        }
+        let first = command.launched() == 0;
+        let explore = self.unit() < EXPLORE;
+        let mut ready = std::mem::take(&mut self.ready);
+        let mut pool = std::mem::take(&mut self.pool);
+        pool.clear();
+        let mut hopeful = false;
+        for &i in &ready {
+            let willing = self.willing(now, i, command);
+            hopeful |= willing;
+            if willing && self.room(now, i, command) {
+                pool.push(i);
+            }
+        }
+        if !hopeful {
+            // When all look bad, all are as good as any.
+            pool.extend(ready.iter().copied().filter(|&i| self.room(now, i, command)));
+        }
+        let mut best = None;
+        if first && !explore {
+            best = self.oldest_token(now, &pool);
+        }
+        if best.is_none() && !pool.is_empty() {
+            let a = pool[(self.chance() % pool.len() as u64) as usize];
+            let b = pool[(self.chance() % pool.len() as u64) as usize];
+            let rank = |i: usize| (self.backends[i].in_flight, self.step(&self.backends[i]));
+            best = Some(if rank(b) < rank(a) { b } else { a });
+        }
+        std::mem::swap(&mut self.ready, &mut ready);
+        std::mem::swap(&mut self.pool, &mut pool);
+        best
+    }
+
+    /// Speed in coarse steps, so that like backends stay alike and age decides among their tokens.
+    fn step(&self, b: &Backend) -> i64 {
+        let far = b.listed.zone.0 != self.terms.zone;
+        // A crossing counts as its price in units of a tenth of a command's time.
+        let dear = if far { 1.0 + 10.0 * self.terms.crossing_price } else { 1.0 };
+        (4.0 * (b.pace * dear).log2()).round() as i64
+    }
+
+    fn oldest_token(&self, now: Moment, pool: &[usize]) -> Option<usize> {
+        let held = pool.iter().copied().filter(|&i| {
+            let b = &self.backends[i];
+            b.token.is_some_and(|at| now.since(at) < TOKEN_EXPIRY) && b.in_flight == 0
+        });
+        held.min_by_key(|&i| (self.step(&self.backends[i]), self.backends[i].token))
+    }
+
+    fn room(&self, now: Moment, i: usize, command: &Command) -> bool {
+        let b = &self.backends[i];
+        if f64::from(b.in_flight) + 1.0 > b.cap.floor()
+            || command.launches().any(|l| l.backend == b.listed.backend)
+        {
+            return false;
+        }
+        let bounds = self.bounds(command);
+        if bounds.zone.is_some_and(|z| z != b.listed.zone)
+            || bounds.group.is_some_and(|g| g != b.listed.group)
+        {
+            return false;
+        }
+        let cost = self.cost(command);
+        let left = self.goal_end(command).since(now).micros();
+        let expected = self.expected(now, b, cost);
+        let ahead = expected - cost * b.pace;
+        let fits = if ahead > 0.0 { expected * self.margin <= left } else { expected <= left };
+        fits && self.pour(now, b, cost).is_some()
+    }
+
+    /// The share of its capacity that a backend has at least, so long after its start.
+    fn warmth(&self, now: Moment, started: Moment) -> f64 {
+        let start = self.terms.start_capacity.max(0.01);
+        let share = now.since(started).micros() / self.terms.warm_within.micros().max(1.0);
+        (start + (1.0 - start) * share).min(1.0)
+    }
+
+    /// Our part of what a cold backend can take in the stated span, as a vessel that drains: its level after
+    /// this work, or nothing if that would be too much. Half the budget fills it, half drains it.
+    fn pour(&self, now: Moment, b: &Backend, cost: f64) -> Option<f64> {
+        let warmth = self.warmth(now, b.listed.started);
+        let rate = 0.4 * self.terms.push_over_multiple * warmth / f64::from(self.terms.nodes.max(1));
+        let level = (b.poured - rate * now.since(b.poured_at).micros()).max(0.0) + cost;
+        let brim = rate * self.terms.push_over_span.micros();
+        (warmth >= 1.0 || level <= brim || level <= cost).then_some(level)
+    }
+
+    /// Whether a backend gets work: drawn, when in doubt, from the posterior of its chance of success.
+    fn willing(&mut self, now: Moment, i: usize, command: &Command) -> bool {
+        self.weigh(now, i, 0.0, 0.0);
+        let trip = self.probe_trip;
+        let b = &self.backends[i];
+        // A probe out for many times its usual trip tells of a stalled process long before it fails.
+        if b.down || b.probe_out.is_some_and(|at| now.since(at).micros() > 4.0 * trip + 4000.0) {
+            return false;
+        }
+        if b.bad < 0.3 {
+            return true;
+        }
+        let effect = self.terms.profiles[usize::from(command.profile.0)].effect;
+        if effect == Effect::OnceOnly {
+            return false;
+        }
+        // The chance drawn must be 0.8: it is above x if fewer than `a` of `a + b - 1` draws fall under x.
+        let (a, n) = (1 + b.good.round() as u32, 1 + b.good.round() as u32 + b.bad.round() as u32);
+        let under = (0..n).filter(|_| self.unit() < 0.8).count() as u32;
+        under < a
+    }
+
+    fn weigh(&mut self, now: Moment, i: usize, good: f64, bad: f64) {
+        // Evidence halves in three seconds; no more than eight of either is kept.
+        let b = &mut self.backends[i];
+        if b.bad > 0.0 {
+            let fade = (-now.since(b.weighed_at).micros() / 3e6).exp2();
+            b.good *= fade;
+            b.bad *= fade;
+        }
+        b.weighed_at = now;
+        b.good = (b.good + good).min(8.0);
+        b.bad = (b.bad + bad).min(8.0);
+    }
+
+    fn launch(&mut self, now: Moment, command: &mut Command, i: usize) -> Say {
+        let held = command.waiting;
+        self.unhold(command);
+        let cost = self.cost(command);
+        let ahead = self.ahead(now, &self.backends[i]);
+        let expected = self.expected(now, &self.backends[i], cost);
+        let level = self.pour(now, &self.backends[i], cost).unwrap_or(0.0);
+        let b = &mut self.backends[i];
+        b.token = None;
+        if b.in_flight == 0 {
+            b.quiet_since = now;
+        }
+        b.in_flight += 1;
+        b.pending += cost;
+        b.poured = level;
+        b.poured_at = now;
+        command.add(Launch {
+            backend: b.listed.backend,
+            zone: b.listed.zone,
+            group: b.listed.group,
+            sent: now,
+            fate: Fate::Out,
+            cost,
+            ahead: ahead + cost,
+            depth: b.in_flight,
+        });
+        let backend = b.listed.backend;
+        // The last moment at which a second copy elsewhere could still be in time.
+        let last = self.goal_end(command) - Span((1.2 * cost) as u64);
+        let look = (now + Span((2.0 * expected) as u64)).min(last);
+        let copy = command.launched() == 1 && look > now + Span(expected as u64) && cost > 0.0;
+        command.look_at = if copy { look } else { Moment(u64::MAX) };
+        if held {
+            if let Some(next) = self.held.last() {
+                self.errands.push(Errand::Again(next.hand));
+            }
+        }
+        self.pressure *= 0.98;
+        Say::Launch(backend)
+    }
+
+    fn second_copy(&mut self, now: Moment, command: &mut Command) -> Say {
+        if now < command.look_at {
+            return Say::NotYet;
+        }
+        command.look_at = Moment(u64::MAX);
+        if !self.terms.second_copies || !self.held.is_empty() || self.copies < 1.0 {
+            return Say::NotYet;
+        }
+        match self.choose(now, command) {
+            Some(i) if self.backends[i].in_flight == 0 => {
+                self.copies -= 1.0;
+                self.launch(now, command, i)
+            }
+            _ => Say::NotYet,
+        }
+    }
+
+    // ---- holding and giving up ----
+
+    /// Own launches that end in a microsecond, by what each backend's answers take.
+    fn rate(&self, now: Moment) -> f64 {
+        let mean = self.rows.iter().map(|r| r.mean).fold(0.0, f64::max).max(1.0);
+        let up = self.ready.iter().map(|&i| &self.backends[i]).filter(|b| b.bad < 0.3 && !b.down);
+        up.map(|b| {
+            let others = self.ahead(now, b) - b.pending;
+            b.cap.floor() / (b.pace * (mean + others))
+        })
+        .sum()
+    }
+
+    fn hold(&mut self, now: Moment, hand: Hand, command: &mut Command) -> Say {
+        if !self.may_launch(now, command) {
+            return self.give_up(now, command);
+        }
+        let at = self.held.partition_point(|h| (h.value, std::cmp::Reverse(h.order)) < rank(command));
+        let ahead = self.held.len() - at;
+        let cost = self.cost(command);
+        let need = Span((cost * self.margin) as u64);
+        let latest = (self.goal_end(command) - need).min(self.bounds(command).until);
+        let wait = Span(((ahead + 1) as f64 / self.rate(now).max(1e-9)) as u64);
+        if command.waiting {
+            if now < latest && now + wait.scaled(0.5) < latest {
+                return Say::NotYet;
+            }
+            return self.give_up(now, command);
+        }
+        if now + wait >= latest {
+            return self.give_up(now, command);
+        }
+        command.waiting = true;
+        command.look_at = latest;
+        let (value, order) = (command.value, command.order);
+        self.held.insert(at, Held { value, order, hand, latest });
+        // Whoever is pushed out of time by this one is told at once.
+        if let Some(last) = self.held.first() {
+            let wait = Span((self.held.len() as f64 * 0.5 / self.rate(now).max(1e-9)) as u64);
+            if now + wait >= last.latest {
+                self.errands.push(Errand::Again(last.hand));
+            }
+        }
+        Say::NotYet
+    }
+
+    fn unhold(&mut self, command: &mut Command) {
+        if command.waiting {
+            command.waiting = false;
+            let at = self.held.partition_point(|h| (h.value, std::cmp::Reverse(h.order)) < rank(command));
+            debug_assert_eq!(self.held[at].order, command.order);
+            self.held.remove(at);
+        }
+    }
+
+    fn give_up(&mut self, _now: Moment, command: &mut Command) -> Say {
+        self.unhold(command);
+        command.closed = true;
+        command.look_at = Moment(u64::MAX);
+        if !self.bounds(command).turn_back {
+            return Say::Errored;
+        }
+        self.pressure = 0.98 * self.pressure + 0.02;
+        // The more is being turned back, the later to come, and never all together.
+        let spread = 0.5 + 0.5 * self.unit();
+        Say::TurnBack(self.terms.longest_come_back.scaled((0.1 + 2.0 * self.pressure).min(1.0) * spread))
+    }
+
+    // ---- learning ----
+
+    fn learn(&mut self, now: Moment, command: &Command, launch: &Launch, outcome: Outcome) {
+        let Some(&i) = self.index.get(&launch.backend) else { return };
+        let took = now.since(launch.sent).micros();
+        let bad = match outcome {
+            Outcome::Finished | Outcome::Full | Outcome::Cancelled | Outcome::Unsent => 0.0,
+            Outcome::Unreachable => 2.0,
+            Outcome::Errored | Outcome::TimedOut | Outcome::Broken => 1.0,
+        };
+        let finished = outcome == Outcome::Finished;
+        self.weigh(now, i, if finished { 1.0 } else { 0.0 }, bad);
+        let b = &mut self.backends[i];
+        let before = launch.sent < b.listed.started;
+        b.in_flight -= 1;
+        b.pending = if b.in_flight == 0 { 0.0 } else { (b.pending - launch.cost).max(0.0) };
+        if matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) && !before {
+            b.ghost = (b.ghost - now.since(b.ghost_at).micros() / b.pace).max(0.0) + launch.cost;
+            b.ghost_at = now;
+            if took > launch.ahead * b.pace {
+                b.pace += 0.1 * (took / launch.ahead.max(1.0) - b.pace).min(3.0 * b.pace);
+            }
+        }
+        if !finished || before {
+            return;
+        }
+        b.quiet_since = now;
+        b.down = false;
+        b.served = true;
+        if launch.sent > b.ghost_at {
+            b.ghost = 0.0;
+        }
+        if b.in_flight == 0 && b.listed.state == State::Ready {
+            let ghost = (b.ghost - now.since(b.ghost_at).micros() / b.pace).max(0.0);
+            b.token = (ghost == 0.0).then_some(now);
+        }
+        b.answers += 1;
+        let row = &mut self.rows[usize::from(command.profile.0)];
+        if row.mean == 0.0 {
+            row.mean = took;
+            row.scale = command.hint.map_or(0.0, |h| took / h.micros().max(1.0));
+            return;
+        }
+        let part = took * launch.cost / launch.ahead.max(1.0);
+        // A single heavy command must not make a backend look slow: nothing counts for more than four times.
+        row.mean += 0.02 * (part.min(4.0 * row.mean) - row.mean);
+        if let Some(hint) = command.hint {
+            let scale = part / hint.micros().max(1.0);
+            row.scale += 0.02 * (scale.min(4.0 * row.scale) - row.scale);
+        }
+        if launch.cost <= 0.0 {
+            return;
+        }
+        let seen = took / launch.ahead;
+        let ratio = seen / b.pace;
+        let weight = (1.0 / f64::from(b.answers + 1)).max(0.1);
+        b.pace += weight * (seen.min(4.0 * b.pace) - b.pace);
+        b.pace = b.pace.clamp(0.02, 50.0);
+        // The margin follows the quantile of how far answers overrun what was expected of them.
+        let miss = self.terms.tail_miss.map_or(0.15, |m| 2.0 * m);
+        self.margin += if ratio > self.margin { 0.05 * (1.0 - miss) } else { -0.05 * miss };
+        self.margin = self.margin.clamp(1.0, 4.0);
+        let b = &mut self.backends[i];
+        // The cap grows while answers from a full backend come as soon as from an idle one.
+        if launch.depth == 1 {
+            b.solo += 0.1 * (took / launch.cost - b.solo);
+        }
+        if f64::from(launch.depth) >= b.cap.floor() {
+            let quick = took <= 1.2 * b.solo * launch.cost;
+            b.cap = if quick { b.cap + 0.05 } else { (b.cap - 0.25).max(1.0) };
+        }
+        let pace = b.pace;
+        let kind = self.kind_pace.entry(b.listed.kind).or_insert(1.0);
+        *kind += 0.02 * (pace - *kind);
+    }
+
+    // ---- the node's own upkeep ----
+
+    /// Every ten milliseconds, a part of a command's time: probes where our own answers tell nothing.
+    fn tick(&mut self, now: Moment) {
+        if !self.terms.may_probe {
+            self.tick_at = Moment(u64::MAX);
+            return;
+        }
+        self.tick_at = now + Span::millis(10);
+        for n in 0..self.ready.len() {
+            let i = self.ready[n];
+            let b = &self.backends[i];
+            let age = now.since(b.report_at).micros();
+            let blind = b.in_flight == 0 && b.token.is_none_or(|at| now.since(at).micros() > 50_000.0);
+            let due = if blind && self.probes >= 1.0 { 20_000.0 } else { 500_000.0 };
+            if b.probe_out.is_none() && age > due && now.since(b.quiet_since).micros() > due {
+                self.probes = (self.probes - 1.0).max(0.0);
+                self.backends[i].probe_out = Some(now);
+                self.errands.push(Errand::Probe(self.backends[i].listed.backend));
+            }
+        }
+    }
+}
+
+struct Bounds {
+    launch: bool,
+    turn_back: bool,
+    until: Moment,
+    zone: Option<ZoneId>,
+    group: Option<GroupId>,
+}
+
+fn rank(command: &Command) -> (f64, std::cmp::Reverse<u64>) {
+    (command.value, std::cmp::Reverse(command.order))
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,8 @@
+//! Load balancing decisions for fleets of HTTP servers. No I/O: see `decide` for the three calls.
+#![forbid(unsafe_code)]
+
+pub mod command;
+pub mod decide;
+pub mod ids;
+pub mod terms;
+pub mod times;
--- /dev/null
+++ b/src/terms.rs
@@ -0,0 +1,185 @@
+//! What a deployment states at start: read once, kept as plain values.
+
+use crate::times::Span;
+use serde_json::Value;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Repeatable,
+    Tagged,
+    OnceOnly,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Among {
+    All,
+    Zone,
+    Group,
+}
+
+#[derive(Clone, Debug)]
+pub struct Profile {
+    pub goal_time: Span,
+    pub time_limit: Span,
+    pub effect: Effect,
+    pub among: Among,
+    pub memory_span: Span,
+    pub payoff: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Customer {
+    pub quota_per_s: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub nodes: u32,
+    pub zone: u16,
+    pub profiles: Vec<Profile>,
+    pub customers: Vec<Customer>,
+    pub surplus_payoff: f64,
+    pub payoff_by_work: bool,
+    pub tail_miss: Option<f64>,
+    pub must_ask: bool,
+    pub ask_within: Span,
+    pub may_probe: bool,
+    /// Where a load report holds the commands in flight and those queued.
+    pub report_held: Option<usize>,
+    pub report_queued: Option<usize>,
+    pub may_cancel: bool,
+    pub second_copies: bool,
+    pub most_launches: usize,
+    pub come_back: bool,
+    pub longest_come_back: Span,
+    pub probe_price: f64,
+    pub crossing_price: f64,
+    pub start_capacity: f64,
+    pub warm_within: Span,
+    pub push_over_multiple: f64,
+    pub push_over_span: Span,
+}
+
+/// Walks down a JSON object and names the key in whatever goes wrong.
+struct Key<'a> {
+    value: &'a Value,
+    path: String,
+}
+
+impl<'a> Key<'a> {
+    fn maybe(&self, name: &str) -> Option<Key<'a>> {
+        let value = self.value.get(name).filter(|v| !v.is_null())?;
+        let dot = if self.path.is_empty() { "" } else { "." };
+        Some(Key { value, path: format!("{}{dot}{name}", self.path) })
+    }
+
+    fn at(&self, name: &str) -> Result<Key<'a>, String> {
+        let dot = if self.path.is_empty() { "" } else { "." };
+        self.maybe(name).ok_or_else(|| format!("settings: {}{dot}{name} is missing", self.path))
+    }
+
+    fn number(&self, low: f64, high: f64) -> Result<f64, String> {
+        let n = self.value.as_f64().ok_or_else(|| format!("settings: {} is not a number", self.path))?;
+        if (low..=high).contains(&n) {
+            Ok(n)
+        } else {
+            Err(format!("settings: {} is out of its range: {n}", self.path))
+        }
+    }
+
+    /// Nanoseconds on the wire, rounded down: every use is the shorter the safer, bar those that say so.
+    fn span(&self) -> Result<Span, String> {
+        Ok(Span((self.number(0.0, 1e18)? / 1000.0) as u64))
+    }
+
+    fn flag(&self) -> Result<bool, String> {
+        self.value.as_bool().ok_or_else(|| format!("settings: {} is not true or false", self.path))
+    }
+
+    fn one_of<T: Copy>(&self, words: &[(&str, T)]) -> Result<T, String> {
+        let word = self.value.as_str().unwrap_or_default();
+        let found = words.iter().find(|(w, _)| *w == word);
+        found.map(|(_, t)| *t).ok_or_else(|| format!("settings: {} has an unknown value", self.path))
+    }
+
+    fn items(&self) -> Result<Vec<Key<'a>>, String> {
+        let list = self.value.as_array().ok_or_else(|| format!("settings: {} is not a list", self.path))?;
+        let item = |(i, value)| Key { value, path: format!("{}[{i}]", self.path) };
+        Ok(list.iter().enumerate().map(item).collect())
+    }
+}
+
+const HUGE: f64 = 1e15;
+
+fn profile(key: &Key) -> Result<Profile, String> {
+    let effects =
+        [("repeatable", Effect::Repeatable), ("by_key", Effect::Tagged), ("once", Effect::OnceOnly)];
+    let effect = key.at("idempotency")?.one_of(&effects)?;
+    let among = [("all", Among::All), ("zone", Among::Zone), ("cell", Among::Group)];
+    let tagged = effect == Effect::Tagged;
+    Ok(Profile {
+        goal_time: key.at("goalTime")?.span()?,
+        time_limit: key.at("timeLimit")?.span()?,
+        effect,
+        among: if tagged { key.at("group")?.one_of(&among)? } else { Among::All },
+        memory_span: if tagged { key.at("memorySpan")?.span()? } else { Span(0) },
+        payoff: key.at("payoff")?.number(0.0, HUGE)?,
+    })
+}
+
+impl Terms {
+    pub fn from_json(text: &[u8]) -> Result<Terms, String> {
+        let value: Value = serde_json::from_slice(text).map_err(|e| format!("settings: not JSON: {e}"))?;
+        let top = Key { value: &value, path: String::new() };
+        let (limits, rules) = (top.at("limits")?, top.at("guarantees")?);
+        let must_ask = top.at("discovery")?.one_of(&[("ask", true), ("push", false)])?;
+        let price = |name| match top.maybe("penalties").and_then(|p| p.maybe(name)) {
+            Some(key) => key.number(0.0, HUGE),
+            None => Ok(0.0),
+        };
+        let flag = |name| limits.maybe(name).map_or(Ok(false), |key| key.flag());
+        let come_back = flag("retryAfter")?;
+        let tail_miss = match top.maybe("goal").and_then(|g| g.maybe("tailMiss")) {
+            Some(key) => Some(key.number(0.0, 1.0)?),
+            None => None,
+        };
+        let mut customers = Vec::new();
+        for key in top.maybe("tenants").map_or(Ok(Vec::new()), |t| t.items())? {
+            customers.push(Customer { quota_per_s: key.at("quotaPerS")?.number(0.0, HUGE)? });
+        }
+        let names = match top.maybe("report").and_then(|r| r.maybe("names")) {
+            Some(key) => key.items()?.iter().map(|k| k.value.as_str().unwrap_or_default()).collect(),
+            None => Vec::new(),
+        };
+        let place = |name| names.iter().position(|n| *n == name);
+        let payoffs = [("request", false), ("work", true)];
+        Ok(Terms {
+            nodes: top.at("balancers")?.number(0.0, 1e6)? as u32,
+            zone: top.at("zone")?.number(0.0, 65535.0)? as u16,
+            profiles: top.at("profiles")?.items()?.iter().map(profile).collect::<Result<_, _>>()?,
+            customers,
+            surplus_payoff: top.maybe("surplusPayoff").map_or(Ok(1.0), |k| k.number(0.0, HUGE))?,
+            payoff_by_work: top.maybe("payoffPer").map_or(Ok(false), |k| k.one_of(&payoffs))?,
+            tail_miss,
+            must_ask,
+            ask_within: rules.maybe("askWithin").map_or(Ok(Span(10_000_000)), |k| k.span())?,
+            may_probe: flag("mayProbe")?,
+            report_held: place("outstanding"),
+            report_queued: place("backlog"),
+            may_cancel: flag("cancel")?,
+            second_copies: flag("secondCopies")?,
+            most_launches: limits.at("mostLaunches")?.number(1.0, 1e6)? as usize,
+            come_back,
+            longest_come_back: match come_back {
+                true => limits.at("maxRetryAfter")?.span()?,
+                false => Span(0),
+            },
+            probe_price: price("probe")?,
+            crossing_price: price("crossZone")?,
+            start_capacity: rules.at("startCapacity")?.number(0.0, 1.0)?,
+            warm_within: Span(rules.at("warmWithin")?.span()?.0 + 1),
+            push_over_multiple: rules.at("tipMultiple")?.number(0.0, HUGE)?,
+            push_over_span: rules.at("fall")?.span()?,
+        })
+    }
+}
