Weigh cost hints by how far past work went along with them

Cause: hints were taken at their word and scaled by the mean of ratios, so heavy-looking commands never seemed to fit their goal time; perth turned back 8 to 29% with backends idle (fetch worst on the incident). An idle backend now takes any command unless it is late as a rule, and a hint moves the expected work only by the learned regression slope.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -91,8 +91,11 @@
 
 /// What is learned by profile: work for each unit of hint (or for each command, without hints).
 struct Row {
-    scale: f64,
     mean: f64,
+    /// Mean and spread of the hints, and how work goes along with them.
+    hint: f64,
+    spread: f64,
+    along: f64,
 }
 
 struct Held {
@@ -133,7 +136,8 @@
 
 impl Balancer {
     pub fn new(terms: Terms, seed: u64, now: Moment) -> Balancer {
-        let rows = terms.profiles.iter().map(|_| Row { scale: 0.0, mean: 0.0 }).collect();
+        let rows =
+            terms.profiles.iter().map(|_| Row { mean: 0.0, hint: 0.0, spread: 0.0, along: 0.0 }).collect();
         let quotas = terms.customers.iter().map(|_| (0.0, now)).collect();
         let must_ask = terms.must_ask;
         let mut node = Balancer {
@@ -419,11 +423,10 @@
     /// Expected work in standard microseconds.
     fn cost(&self, command: &Command) -> f64 {
         let row = &self.rows[usize::from(command.profile.0)];
-        match command.hint {
-            Some(hint) if row.scale > 0.0 => hint.micros() * row.scale,
-            Some(hint) => hint.micros(),
-            None => row.mean,
-        }
+        let Some(hint) = command.hint.filter(|_| row.spread > 0.0) else { return row.mean };
+        // Rough hints mislead when taken at their word: they count as far as past work went along with them.
+        let slope = (row.along / row.spread).clamp(0.0, row.mean / row.hint.max(1.0));
+        (row.mean + slope * (hint.micros() - row.hint)).max(0.2 * row.mean)
     }
 
     /// Where this command may still go: everywhere, or for a tagged one that may have run, where and until.
@@ -539,8 +542,10 @@
         let cost = self.cost(command);
         let left = self.goal_end(command).since(now).micros();
         let expected = self.expected(now, b, cost);
-        let ahead = expected - cost * b.pace;
-        let fits = if ahead > 0.0 { expected * self.margin <= left } else { expected <= left };
+        // With nothing ahead there is no better place for it: only a backend that is late as a rule is left out.
+        let mean = self.rows[usize::from(command.profile.0)].mean;
+        let idle = expected <= cost * b.pace;
+        let fits = if idle { mean * b.pace <= left } else { expected * self.margin <= left };
         fits && self.pour(now, b, cost).is_some()
     }
 
@@ -762,15 +767,18 @@
         let row = &mut self.rows[usize::from(command.profile.0)];
         if row.mean == 0.0 {
             row.mean = took;
-            row.scale = command.hint.map_or(0.0, |h| took / h.micros().max(1.0));
+            row.hint = command.hint.map_or(0.0, |h| h.micros());
             return;
         }
         let part = took * launch.cost / launch.ahead.max(1.0);
         // A single heavy command must not make a backend look slow: nothing counts for more than four times.
-        row.mean += 0.02 * (part.min(4.0 * row.mean) - row.mean);
+        let over = part.min(4.0 * row.mean) - row.mean;
+        row.mean += 0.02 * over;
         if let Some(hint) = command.hint {
-            let scale = part / hint.micros().max(1.0);
-            row.scale += 0.02 * (scale.min(4.0 * row.scale) - row.scale);
+            let off = (hint.micros() - row.hint).min(4.0 * row.hint);
+            row.hint += 0.02 * off;
+            row.spread += 0.02 * (off * off - row.spread);
+            row.along += 0.02 * (off * over - row.along);
         }
         if launch.cost <= 0.0 {
             return;
