--- a/src/decide.rs
+++ b/src/decide.rs
@@ -302,7 +302,7 @@
             ghost: 0.0,
             ghost_at: now,
             quiet_since: now,
-            pace: kind_pace / self.warmth(now, line.started),
+            pace: kind_pace,
             solo: kind_pace,
             answers: 0,
             cap: 1.0,
@@ -455,14 +455,25 @@
         bounds.launch && now < bounds.until && now < command.ends && command.launched() < most
     }
 
+    /// Time there for a unit of work. What is not known yet is taken from the kind and the warm-up; what was
+    /// learned fades by half each second without an answer, or a backend once slow is never tried again.
+    fn pace(&self, now: Moment, b: &Backend) -> f64 {
+        if b.answers < 3 {
+            return b.pace / self.warmth(now, b.listed.started);
+        }
+        let idle = if b.in_flight == 0 { now.since(b.quiet_since).micros() / 1e6 } else { 0.0 };
+        b.pace * (-idle).exp2().max(0.1)
+    }
+
     /// Expected time for work there, with all that is ahead of it.
     fn expected(&self, now: Moment, b: &Backend, cost: f64) -> f64 {
-        let mut ahead = self.ahead(now, b) * b.pace;
+        let pace = self.pace(now, b);
+        let mut ahead = self.ahead(now, b) * pace;
         if b.in_flight > 0 {
             // A silence lasts about as long again as it has lasted.
             ahead = ahead.max(now.since(b.quiet_since).micros());
         }
-        ahead + cost * b.pace
+        ahead + cost * pace
     }
 
     fn ahead(&self, now: Moment, b: &Backend) -> f64 {
@@ -544,8 +555,9 @@
         let expected = self.expected(now, b, cost);
         // With nothing ahead there is no better place for it: only a backend that is late as a rule is left out.
         let mean = self.rows[usize::from(command.profile.0)].mean;
-        let idle = expected <= cost * b.pace;
-        let fits = if idle { mean * b.pace <= left } else { expected * self.margin <= left };
+        let pace = self.pace(now, b);
+        let idle = expected <= cost * pace;
+        let fits = if idle { mean * pace <= left } else { expected * self.margin <= left };
         fits && self.pour(now, b, cost).is_some()
     }
 
