--- a/src/decide.rs
+++ b/src/decide.rs
@@ -456,13 +456,13 @@
     }
 
     /// Time there for a unit of work. What is not known yet is taken from the kind and the warm-up; what was
-    /// learned fades by half each second without an answer, or a backend once slow is never tried again.
+    /// learned fades by half each second after the first without an answer, or a backend once slow is never tried again.
     fn pace(&self, now: Moment, b: &Backend) -> f64 {
         if b.answers < 3 {
             return b.pace / self.warmth(now, b.listed.started);
         }
         let idle = if b.in_flight == 0 { now.since(b.quiet_since).micros() / 1e6 } else { 0.0 };
-        b.pace * (-idle).exp2().max(0.1)
+        b.pace * (1.0 - idle).min(0.0).exp2().max(0.1)
     }
 
     /// Expected time for work there, with all that is ahead of it.
