Ask backends for news before a launch on stale news, and let fewer commands be turned back

Three backends are now probed before such a launch, the command held for the trip, and the margin rests at three in ten (at twice the accepted misses where the goal has a tail).

--- a/src/command.rs
+++ b/src/command.rs
@@ -64,6 +64,8 @@
     pub(crate) seen: bool,
     pub(crate) waiting: bool,
     pub(crate) look_at: Moment,
+    /// Until when it is held for the probes sent on its behalf.
+    pub(crate) asked: Moment,
     pub(crate) value: f64,
     pub(crate) order: u64,
     launches: [Option<Launch>; MOST_LAUNCHES],
@@ -84,6 +86,7 @@
             seen: false,
             waiting: false,
             look_at: Moment(u64::MAX),
+            asked: Moment(0),
             value: 0.0,
             order: 0,
             launches: [None; MOST_LAUNCHES],
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -136,6 +136,10 @@
 /// The proposal's expiry and exploring share.
 const TOKEN_EXPIRY: Span = Span::millis(2000);
 const EXPLORE: f64 = 0.1;
+/// Backends probed for a launch: three find an idle one nearly always at two thirds load.
+const ASKED: usize = 3;
+/// News for so long: a tenth of a command's usual time there.
+const FRESH: Span = Span::millis(6);
 
 impl Balancer {
     pub fn new(terms: Terms, seed: u64, now: Moment) -> Balancer {
@@ -202,7 +206,10 @@
             return self.second_copy(now, command);
         }
         if let Some(i) = self.choose(now, command) {
-            return self.launch(now, command, i);
+            if !self.ask_first(now, hand, command, i) {
+                return self.launch(now, command, i);
+            }
+            return Say::NotYet;
         }
         self.hold(now, hand, command)
     }
@@ -517,9 +524,17 @@
             best = self.oldest_token(now, &pool);
         }
         if best.is_none() && !pool.is_empty() {
+            if command.asked > Moment(0) && pool.iter().any(|&i| self.fresh(now, i)) {
+                pool.retain(|&i| self.fresh(now, i));
+            }
             let a = pool[(self.chance() % pool.len() as u64) as usize];
             let b = pool[(self.chance() % pool.len() as u64) as usize];
-            let rank = |i: usize| (self.backends[i].in_flight, self.step(&self.backends[i]));
+            // What a fresh report shows of others counts as our own would.
+            let rank = |i: usize| {
+                let b = &self.backends[i];
+                let others = if self.ahead(now, b) > b.pending { b.others as u32 } else { 0 };
+                (b.in_flight + others, self.step(b))
+            };
             best = Some(if rank(b) < rank(a) { b } else { a });
         }
         std::mem::swap(&mut self.ready, &mut ready);
@@ -538,7 +553,7 @@
     fn oldest_token(&self, now: Moment, pool: &[usize]) -> Option<usize> {
         let held = pool.iter().copied().filter(|&i| {
             let b = &self.backends[i];
-            b.token.is_some_and(|at| now.since(at) < TOKEN_EXPIRY) && b.in_flight == 0
+            b.token.is_some_and(|at| now.since(at) < TOKEN_EXPIRY) && self.ahead(now, b) == 0.0
         });
         held.min_by_key(|&i| (self.step(&self.backends[i]), self.backends[i].token))
     }
@@ -678,6 +693,40 @@
         }
     }
 
+    /// Where other nodes send too and probes are allowed, a launch on stale news asks first: some backends
+    /// are probed and the command is held for the trip, a hundredth of its time. True while it is to wait.
+    fn ask_first(&mut self, now: Moment, hand: Hand, command: &mut Command, i: usize) -> bool {
+        if !self.terms.may_probe || self.terms.nodes < 2 || self.fresh(now, i) {
+            return false;
+        }
+        let trip = Span(2500 + (2.0 * self.probe_trip) as u64);
+        if command.asked == Moment(0) && self.probes >= ASKED as f64 {
+            command.asked = now + trip;
+            self.probe_some(now, i);
+            self.insert(now + trip, hand, command);
+        }
+        now < command.asked
+    }
+
+    /// Whether what is known of a backend is news: a report, or an answer that left it to itself.
+    fn fresh(&self, now: Moment, i: usize) -> bool {
+        let b = &self.backends[i];
+        now.since(b.report_at.max(b.token.unwrap_or(Moment(0)))) <= FRESH
+    }
+
+    fn probe_some(&mut self, now: Moment, i: usize) {
+        let mut next = i;
+        for _ in 0..ASKED {
+            if self.backends[next].probe_out.is_none() {
+                self.probes -= 1.0;
+                self.backends[next].probe_out = Some(now);
+                self.errands.push(Errand::Probe(self.backends[next].listed.backend));
+            }
+            let draw = self.chance() % self.ready.len() as u64;
+            next = self.ready[draw as usize];
+        }
+    }
+
     // ---- holding and giving up ----
 
     /// Own launches that end in a microsecond, by what each backend's answers take.
@@ -703,6 +752,7 @@
         let wait = Span(((ahead + 1) as f64 / self.rate(now).max(1e-9)) as u64);
         if command.waiting {
             if now < latest && now + wait.scaled(0.5) < latest {
+                command.look_at = latest;
                 return Say::NotYet;
             }
             return self.give_up(now, command);
@@ -710,10 +760,7 @@
         if now + wait >= latest {
             return self.give_up(now, command);
         }
-        command.waiting = true;
-        command.look_at = latest;
-        let (value, order) = (command.value, command.order);
-        self.held.insert(at, Held { value, order, hand, latest });
+        self.insert(latest, hand, command);
         // Whoever is pushed out of time by this one is told at once.
         if let Some(last) = self.held.first() {
             let wait = Span((self.held.len() as f64 * 0.5 / self.rate(now).max(1e-9)) as u64);
@@ -724,6 +771,16 @@
         Say::NotYet
     }
 
+    fn insert(&mut self, latest: Moment, hand: Hand, command: &mut Command) {
+        command.look_at = latest;
+        if !command.waiting {
+            command.waiting = true;
+            let at = self.held.partition_point(|h| (h.value, std::cmp::Reverse(h.order)) < rank(command));
+            let (value, order) = (command.value, command.order);
+            self.held.insert(at, Held { value, order, hand, latest });
+        }
+    }
+
     fn unhold(&mut self, command: &mut Command) {
         if command.waiting {
             command.waiting = false;
@@ -774,7 +831,7 @@
             return;
         }
         // The window comes to rest where a stated share of answers is late; other losses are no sign of a crowd.
-        let miss = self.terms.tail_miss.map_or(0.1, |m| 2.0 * m);
+        let miss = self.terms.tail_miss.map_or(0.3, |m| 2.0 * m);
         let most = 2.0 * self.ready.len() as f64 + 2.0;
         if now > self.goal_end(command) {
             self.window = (self.window.min(most) * 0.95).max(1.0);
@@ -818,7 +875,7 @@
         b.pace += weight * (seen.min(4.0 * b.pace) - b.pace);
         b.pace = b.pace.clamp(0.02, 50.0);
         // The margin follows the quantile of how far answers overrun what was expected of them.
-        let miss = self.terms.tail_miss.map_or(0.15, |m| 2.0 * m);
+        let miss = self.terms.tail_miss.map_or(0.3, |m| 2.0 * m);
         self.margin += if ratio > self.margin { 0.05 * (1.0 - miss) } else { -0.05 * miss };
         self.margin = self.margin.clamp(1.0, 4.0);
         let b = &mut self.backends[i];
