--- a/src/decide.rs
+++ b/src/decide.rs
@@ -808,7 +808,11 @@
     fn learn(&mut self, now: Moment, command: &Command, launch: &Launch, outcome: Outcome) {
         let Some(&i) = self.index.get(&launch.backend) else { return };
         let took = now.since(launch.sent).micros();
+        let b = &self.backends[i];
+        // A time-out where others have been answered meanwhile tells of a crowd or a heavy command.
+        let silent = b.quiet_since <= launch.sent;
         let bad = match outcome {
+            Outcome::TimedOut if !silent => 0.0,
             Outcome::Finished | Outcome::Full | Outcome::Cancelled | Outcome::Unsent => 0.0,
             Outcome::Unreachable => 2.0,
             Outcome::Errored | Outcome::TimedOut | Outcome::Broken => 1.0,
