--- a/src/decide.rs
+++ b/src/decide.rs
@@ -121,9 +121,6 @@
     errands: Vec<Errand>,
     order: u64,
     margin: f64,
-    /// Launches out, and how many may be.
-    out: u32,
-    window: f64,
     copies: f64,
     pressure: f64,
     probes: f64,
@@ -162,8 +159,6 @@
             errands: Vec::new(),
             order: 0,
             margin: 1.6,
-            out: 0,
-            window: f64::MAX,
             copies: 2.0,
             pressure: 0.0,
             probes: 0.0,
@@ -498,8 +493,7 @@
     }
 
     fn choose(&mut self, now: Moment, command: &Command) -> Option<usize> {
-        // Nodes that see little of each other's launches would bury the fleet together: each keeps a window.
-        if !self.may_launch(now, command) || f64::from(self.out) + 1.0 > self.window.max(1.0) {
+        if !self.may_launch(now, command) {
             return None;
         }
         let first = command.launched() == 0;
@@ -647,7 +641,6 @@
             b.quiet_since = now;
         }
         b.in_flight += 1;
-        self.out += 1;
         b.pending += cost;
         b.poured = level;
         b.poured_at = now;
@@ -822,7 +815,6 @@
         let b = &mut self.backends[i];
         let before = launch.sent < b.listed.started;
         b.in_flight -= 1;
-        self.out -= 1;
         b.pending = if b.in_flight == 0 { 0.0 } else { (b.pending - launch.cost).max(0.0) };
         if matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) && !before {
             b.ghost = (b.ghost - now.since(b.ghost_at).micros() / b.pace).max(0.0) + launch.cost;
@@ -834,15 +826,6 @@
         if !finished || before {
             return;
         }
-        // The window comes to rest where a stated share of answers is late; other losses are no sign of a crowd.
-        let miss = self.terms.tail_miss.map_or(0.3, |m| 2.0 * m);
-        let most = 2.0 * self.ready.len() as f64 + 2.0;
-        if now > self.goal_end(command) {
-            self.window = (self.window.min(most) * 0.95).max(1.0);
-        } else if f64::from(self.out) + 2.0 > self.window {
-            self.window = (self.window * (1.0 + 0.05 * miss)).min(most);
-        }
-        let b = &mut self.backends[i];
         b.quiet_since = now;
         b.down = false;
         b.served = true;
