A short time-out is no sign of a sick backend; close idle connections after any

Hung backends were ruled out (each answered others meanwhile), lost connections too (closing idle ones after a time-out changed nothing there): the outcomes showed time-outs 130 to 220 ms after launch, clients leaving. The module blamed the backends, called most doubtful and turned back a fifth more. A time-out now counts only after a silence of four times what was expected.

--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -235,6 +235,7 @@
         while let Some(errand) = self.node.errand(now) {
             match errand {
                 Errand::Probe(backend) => reply.action(60, self.number, &[&backend.0.to_be_bytes()]),
+                Errand::Close(backend) => reply.action(70, self.number, &[&backend.0.to_be_bytes()]),
                 Errand::Follow => reply.action(110, self.number, &[&[1]]),
                 Errand::Cancel(command, launch) => {
                     reply.action(40, self.number, &[&command.0.to_be_bytes(), &[launch]]);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -29,6 +29,8 @@
     Probe(BackendId),
     Follow,
     Cancel(CommandId, u8),
+    /// Close the idle connections there.
+    Close(BackendId),
     /// Ask `place` for this held command again.
     Again(Hand),
 }
@@ -801,9 +803,14 @@
     fn learn(&mut self, now: Moment, command: &Command, launch: &Launch, outcome: Outcome) {
         let Some(&i) = self.index.get(&launch.backend) else { return };
         let took = now.since(launch.sent).micros();
+        if matches!(outcome, Outcome::TimedOut | Outcome::Broken) {
+            // A connection that has lost its way swallows whatever is sent on it next: a new one is cheap.
+            self.errands.push(Errand::Close(launch.backend));
+        }
         let b = &self.backends[i];
-        // A time-out where others have been answered meanwhile tells of a crowd or a heavy command.
-        let silent = b.quiet_since <= launch.sent;
+        // A time-out tells of the backend only if it was silent throughout, and for long: some clients give up
+        // within a usual answer's time, and a heavy command takes long anywhere.
+        let silent = b.quiet_since <= launch.sent && took > 4.0 * launch.ahead * b.pace;
         let bad = match outcome {
             Outcome::TimedOut if !silent => 0.0,
             Outcome::Finished | Outcome::Full | Outcome::Cancelled | Outcome::Unsent => 0.0,
