Send a second copy only past an unanswered probe, and hold a little longer

Where probes are allowed the backend is asked first, and an answer leaves the launch alone. A held command's last start now uses the root of the margin, since nothing will stand ahead of it.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -676,6 +676,25 @@
             return Say::NotYet;
         }
         command.look_at = Moment(u64::MAX);
+        // A probe tells a stalled backend from a heavy command, of which a second copy would be as heavy.
+        let at = command.launches().last().and_then(|l| self.index.get(&l.backend)).copied();
+        if let Some(i) = at.filter(|_| self.terms.may_probe) {
+            let trip = Span(4000 + (4.0 * self.probe_trip) as u64);
+            let b = &mut self.backends[i];
+            match b.probe_out {
+                None if command.checked => return Say::NotYet,
+                Some(_) if command.checked => {}
+                out => {
+                    if out.is_none() {
+                        b.probe_out = Some(now);
+                        self.errands.push(Errand::Probe(b.listed.backend));
+                    }
+                    command.checked = true;
+                    command.look_at = now + trip;
+                    return Say::NotYet;
+                }
+            }
+        }
         if !self.terms.second_copies || !self.held.is_empty() || self.copies < 1.0 {
             return Say::NotYet;
         }
@@ -742,7 +761,8 @@
         let at = self.held.partition_point(|h| (h.value, std::cmp::Reverse(h.order)) < rank(command));
         let ahead = self.held.len() - at;
         let cost = self.cost(command);
-        let need = Span((cost * self.margin) as u64);
+        // A held command starts with nothing ahead of it: it needs less than one sent to stand behind others.
+        let need = Span((cost * self.margin.sqrt()) as u64);
         let latest = (self.goal_end(command) - need).min(self.bounds(command).until);
         let wait = Span(((ahead + 1) as f64 / self.rate(now).max(1e-9)) as u64);
         if command.waiting {
