--- a/src/decide.rs
+++ b/src/decide.rs
@@ -145,7 +145,7 @@
         let rows =
             terms.profiles.iter().map(|_| Row { mean: 0.0, hint: 0.0, spread: 0.0, along: 0.0 }).collect();
         let quotas = terms.customers.iter().map(|_| (0.0, now)).collect();
-        let must_ask = terms.must_ask;
+        let (must_ask, may_probe) = (terms.must_ask, terms.may_probe);
         let mut node = Balancer {
             terms,
             seed,
@@ -165,7 +165,7 @@
             pressure: 0.0,
             probes: 0.0,
             probe_trip: 0.0,
-            tick_at: now,
+            tick_at: if may_probe { now } else { Moment(u64::MAX) },
             follow_at: Moment(u64::MAX),
             failures: 0,
         };
@@ -580,6 +580,9 @@
 
     /// The share of its capacity that a backend has at least, so long after its start.
     fn warmth(&self, now: Moment, started: Moment) -> f64 {
+        if started == Moment(0) {
+            return 1.0; // the list's word for a long time ago
+        }
         let start = self.terms.start_capacity.max(0.01);
         let share = now.since(started).micros() / self.terms.warm_within.micros().max(1.0);
         (start + (1.0 - start) * share).min(1.0)
@@ -910,10 +913,6 @@
 
     /// Every ten milliseconds, a part of a command's time: probes where our own answers tell nothing.
     fn tick(&mut self, now: Moment) {
-        if !self.terms.may_probe {
-            self.tick_at = Moment(u64::MAX);
-            return;
-        }
         self.tick_at = now + Span::millis(10);
         for n in 0..self.ready.len() {
             let i = self.ready[n];
--- /dev/null
+++ b/tests/decide.rs
@@ -0,0 +1,259 @@
+//! The four rules and each failure found, as tables of cases.
+
+mod help;
+
+use help::{Bench, GOAL};
+use yarrowfront::command::Outcome::{self, *};
+use yarrowfront::decide::{Errand, ListKind, Say, State};
+use yarrowfront::terms::Terms;
+use yarrowfront::times::Span;
+
+/// Rule 2: what may follow a launch, by profile kind and what is known of it. The second backend is of the
+/// first one's group, the third of another.
+#[test]
+fn relaunch_turn_back_or_error() {
+    #[derive(Debug, PartialEq)]
+    enum Then {
+        Anywhere,
+        Group,
+        TurnBack,
+        Error,
+    }
+    use Then::*;
+    let cases: &[(&str, &str, Outcome, u64, Then)] = &[
+        ("repeatable", "all", Errored, 10, Anywhere),
+        ("repeatable", "all", TimedOut, GOAL + 1, TurnBack),
+        ("by_key", "all", Errored, 10, Anywhere),
+        ("by_key", "all", Errored, GOAL + 1, TurnBack),
+        ("by_key", "cell", Broken, 10, Group),
+        ("by_key", "cell", Errored, 61, Error),
+        ("by_key", "cell", Full, 61, Anywhere),
+        ("by_key", "cell", Unreachable, GOAL + 1, TurnBack),
+        ("once", "all", Errored, 10, Error),
+        ("once", "all", TimedOut, 400, Error),
+        ("once", "all", Full, 10, Anywhere),
+        ("once", "all", Unreachable, GOAL + 1, TurnBack),
+        ("once", "all", Unsent, GOAL + 1, TurnBack),
+    ];
+    for (effect, group, outcome, after, then) in cases {
+        let mut seen = Vec::new();
+        for seed in 0..24 {
+            // A memory span of 60 ms.
+            let mut bench = Bench::with(seed, |t| {
+                t["profiles"][0]["idempotency"] = (*effect).into();
+                t["profiles"][0]["group"] = (*group).into();
+            });
+            bench.list_groups(&[(1, 1), (2, 1), (3, 2)]);
+            let mut command = bench.command(0);
+            let Say::Launch(first) = bench.place(&mut command) else { panic!("nothing sent: {effect}") };
+            bench.later(*after);
+            seen.push((first.0, bench.after(&mut command, 0, *outcome)));
+        }
+        let launched = seen.iter().filter(|(_, say)| matches!(say, Say::Launch(_))).count();
+        let group_of = |b: u32| b / 3;
+        let strays = seen
+            .iter()
+            .filter(|(first, say)| matches!(say, Say::Launch(b) if group_of(b.0) != group_of(*first)));
+        let strays = strays.count();
+        match then {
+            Anywhere => assert!(launched == seen.len() && strays > 0, "{effect} {outcome:?}: {seen:?}"),
+            Group => assert!(launched > 0 && strays == 0, "{effect} {outcome:?}: {seen:?}"),
+            TurnBack => assert!(
+                seen.iter().all(|(_, s)| matches!(s, Say::TurnBack(_))),
+                "{effect} {outcome:?}: {seen:?}"
+            ),
+            Error => assert!(seen.iter().all(|(_, s)| *s == Say::Errored), "{effect} {outcome:?}: {seen:?}"),
+        }
+    }
+}
+
+/// Rule 3, and a list that loses, returns or never names a backend.
+#[test]
+fn only_ready_backends_get_work() {
+    type Lines = &'static [(u32, State, u64)];
+    let cases: &[(Lines, bool)] = &[
+        (&[], false),
+        (&[(1, State::Draining, 0)], false),
+        (&[(1, State::Gone, 0)], false),
+        (&[(1, State::Ready, 0)], true),
+        (&[(1, State::Draining, 0), (1, State::Ready, 900_000)], true),
+        (&[(1, State::Ready, 0), (1, State::Gone, 0)], false),
+    ];
+    for (lines, sends) in cases {
+        let mut bench = Bench::new(1);
+        for line in *lines {
+            bench.line(ListKind::Changes, *line);
+        }
+        let mut command = bench.command(0);
+        let say = bench.place(&mut command);
+        assert_eq!(matches!(say, Say::Launch(_)), *sends, "{lines:?}");
+        assert!(
+            *sends || matches!(say, Say::TurnBack(_)),
+            "with nowhere to go it is answered at once: {lines:?}"
+        );
+    }
+}
+
+/// Rule 4: a backend at a fifth of its capacity, and four nodes that all find it.
+#[test]
+fn a_cold_backend_gets_this_nodes_part() {
+    for (started, least, most) in [(0, 60, 1000), (990_000, 1, 8)] {
+        let mut bench = Bench::new(1);
+        bench.warm_up_costs();
+        bench.line(ListKind::Whole, (7, State::Ready, started));
+        let mut sent = 0;
+        for _ in 0..1000 {
+            let mut command = bench.command(0);
+            if matches!(bench.place(&mut command), Say::Launch(_)) {
+                sent += 1;
+                bench.after(&mut command, 0, Full);
+            }
+            bench.later(1);
+        }
+        assert!((least..=most).contains(&sent), "started at {started}: {sent} sent in a second");
+    }
+}
+
+/// Rule 1: whatever is held is answered when its last start has passed, and a launch out at the limit too.
+#[test]
+fn a_held_command_is_answered_in_time() {
+    let mut bench = Bench::new(1);
+    bench.warm_up_costs();
+    bench.line(ListKind::Whole, (1, State::Ready, 0));
+    let mut busy = bench.command(0);
+    assert!(matches!(bench.place(&mut busy), Say::Launch(_)));
+    let mut held = bench.command(0);
+    assert_eq!(bench.place(&mut held), Say::NotYet);
+    let wait = bench.node.wait(bench.now, Some(&held)).expect("a held command has a timer");
+    assert!(wait < Span::millis(GOAL));
+    bench.now = bench.now + wait;
+    assert!(matches!(bench.place(&mut held), Say::TurnBack(_)));
+    assert_eq!(bench.node.wait(bench.now, Some(&held)), None);
+    assert_eq!(bench.place(&mut held), Say::NotYet, "it is over: nothing more is said");
+    bench.later(GOAL);
+    assert!(matches!(bench.after(&mut busy, 0, TimedOut), Say::TurnBack(_)));
+    assert_eq!(bench.after(&mut busy, 0, TimedOut), Say::NotYet, "an outcome told twice");
+}
+
+/// Tokens: a served answer that leaves none of ours there mints one, nothing else does. With a token the
+/// first launch goes there, bar the exploring tenth.
+#[test]
+fn tokens_are_minted_by_answers_alone() {
+    for (outcome, token) in [(Finished, true), (Errored, false), (Full, false), (TimedOut, false)] {
+        let mut hits = 0;
+        for seed in 0..40 {
+            let mut bench = Bench::new(seed);
+            bench.list_groups(&[(1, 1), (2, 1), (3, 1), (4, 1), (5, 1), (6, 1)]);
+            let mut command = bench.command(0);
+            let Say::Launch(first) = bench.place(&mut command) else { panic!("nothing sent") };
+            bench.later(30);
+            command.closed = outcome == Finished;
+            bench.after(&mut command, 0, outcome);
+            let mut next = bench.command(0);
+            let again = bench.place(&mut next);
+            hits += u32::from(again == Say::Launch(first));
+        }
+        assert_eq!(hits > 20, token, "{outcome:?}: {hits} of 40 went to the same backend");
+    }
+}
+
+/// A backend that answers every launch with an error at once has few in flight; it must not draw work.
+#[test]
+fn fast_errors_are_left_to_a_trickle() {
+    let mut bench = Bench::new(3);
+    bench.list_groups(&[(1, 1), (2, 1), (3, 1), (4, 1)]);
+    let mut to_bad = 0;
+    for _ in 0..400 {
+        let mut command = bench.command(0);
+        let Say::Launch(backend) = bench.place(&mut command) else { continue };
+        bench.later(10);
+        let bad = backend.0 == 4;
+        to_bad += u32::from(bad);
+        command.closed = !bad;
+        bench.after(&mut command, 0, if bad { Errored } else { Finished });
+    }
+    assert!((1..40).contains(&to_bad), "{to_bad} of 400");
+    // Never quite forgotten: once it works again it is found.
+    let mut found = 0;
+    for _ in 0..2000 {
+        let mut command = bench.command(0);
+        let Say::Launch(backend) = bench.place(&mut command) else { continue };
+        bench.later(10);
+        command.closed = true;
+        bench.after(&mut command, 0, Finished);
+        found += u32::from(backend.0 == 4);
+    }
+    assert!(found > 100, "{found} of 2000");
+}
+
+/// Incident i42001f: clients that leave within a usual answer's time are not the backend's fault.
+#[test]
+fn early_leavers_are_no_evidence() {
+    for (after, trusted) in [(20, true), (300, false)] {
+        let mut bench = Bench::with(5, |t| t["profiles"][0]["idempotency"] = "once".into());
+        bench.warm_up_costs();
+        bench.line(ListKind::Whole, (1, State::Ready, 0));
+        bench.line(ListKind::Changes, (2, State::Ready, 0));
+        let mut command = bench.command(0);
+        let Say::Launch(blamed) = bench.place(&mut command) else { panic!("nothing sent") };
+        let mut other = bench.command(0);
+        assert!(matches!(bench.place(&mut other), Say::Launch(_)));
+        bench.later(after);
+        bench.after(&mut command, 0, TimedOut);
+        bench.later(100);
+        let mut next = bench.command(0);
+        assert_eq!(bench.place(&mut next) == Say::Launch(blamed), trusted, "time-out after {after} ms");
+    }
+}
+
+/// Perth's first incident: a hint that says nothing about the work must not turn a command back.
+#[test]
+fn wild_hints_do_not_turn_commands_back() {
+    let mut bench = Bench::new(2);
+    bench.list_groups(&[(1, 1)]);
+    for n in 0..200u64 {
+        let mut command = bench.command(0);
+        command.hint = Some(Span::millis(10 + 400 * (n % 2)));
+        assert!(matches!(bench.place(&mut command), Say::Launch(_)), "command {n}");
+        bench.later(30);
+        command.closed = true;
+        bench.after(&mut command, 0, Finished);
+    }
+}
+
+/// The list must be asked for: at start, and again after a failure, later each time and within the term.
+#[test]
+fn a_failed_list_call_is_made_again() {
+    let mut bench = Bench::new(1);
+    let mut last = Span(0);
+    for round in 0..8 {
+        let wait = bench.node.wait(bench.now, None).expect("a call is due");
+        assert!(wait <= Span::millis(4000), "round {round}: {wait:?}");
+        bench.now = bench.now + wait;
+        assert_eq!(bench.errands(), [Errand::Follow], "round {round}");
+        bench.node.list(bench.now, ListKind::Failed, std::iter::empty());
+        last = last.max(wait);
+    }
+    assert!(last > Span::millis(1000));
+    bench.line(ListKind::Whole, (1, State::Ready, 0));
+    assert_eq!(bench.node.wait(bench.now, None), None, "subscribed");
+}
+
+#[test]
+fn settings_out_of_order_name_the_key() {
+    let cases: &[(&str, &str)] = &[
+        ("/limits/mostLaunches", "limits.mostLaunches"),
+        ("/profiles/0/goalTime", "profiles[0].goalTime"),
+        ("/guarantees/startCapacity", "guarantees.startCapacity"),
+        ("/discovery", "discovery"),
+    ];
+    for (at, named) in cases {
+        for wrong in [serde_json::Value::Null, "x".into(), (-1.0).into()] {
+            let mut json = help::terms();
+            *json.pointer_mut(at).expect("the key is there") = wrong.clone();
+            let said = Terms::from_json(json.to_string().as_bytes()).expect_err("it must not pass");
+            assert!(said.contains(named), "{at} = {wrong}: {said}");
+        }
+    }
+    assert!(Terms::from_json(b"{").expect_err("not JSON").contains("JSON"));
+}
--- /dev/null
+++ b/tests/help/mod.rs
@@ -0,0 +1,97 @@
+//! A node on a made-up deployment, driven by hand.
+
+use serde_json::{json, Value};
+use yarrowfront::command::{Command, Outcome};
+use yarrowfront::decide::{Balancer, Errand, ListKind, Listed, Say, State};
+use yarrowfront::ids::{BackendId, CommandId, CustomerId, GroupId, Hand, KindId, ProfileId, ZoneId};
+use yarrowfront::terms::Terms;
+use yarrowfront::times::{Moment, Span};
+
+/// Goal time in milliseconds.
+pub const GOAL: u64 = 200;
+
+pub fn terms() -> Value {
+    json!({
+        "balancers": 4, "zone": 0, "discovery": "ask",
+        "profiles": [{"goalTime": GOAL * 1_000_000, "timeLimit": 500_000_000, "idempotency": "repeatable",
+                      "group": "all", "memorySpan": 60_000_000, "payoff": 1.0}],
+        "limits": {"mostLaunches": 4, "cancel": true, "secondCopies": true, "mayProbe": false,
+                   "retryAfter": true, "maxRetryAfter": 2_000_000_000u64},
+        "guarantees": {"startCapacity": 0.2, "warmWithin": 10_000_000_000u64, "tipMultiple": 4.0,
+                       "fall": 1_000_000_000u64, "askWithin": 10_000_000_000u64},
+    })
+}
+
+pub struct Bench {
+    pub node: Balancer,
+    pub now: Moment,
+    commands: u32,
+}
+
+impl Bench {
+    pub fn new(seed: u64) -> Bench {
+        Bench::with(seed, |_| {})
+    }
+
+    pub fn with(seed: u64, change: impl Fn(&mut Value)) -> Bench {
+        let mut json = terms();
+        change(&mut json);
+        let terms = Terms::from_json(json.to_string().as_bytes()).expect("good settings");
+        let now = Moment(1_000_000);
+        Bench { node: Balancer::new(terms, seed, now), now, commands: 0 }
+    }
+
+    pub fn later(&mut self, millis: u64) {
+        self.now = self.now + Span::millis(millis);
+    }
+
+    pub fn list_groups(&mut self, lines: &[(u32, u16)]) {
+        let line = |&(id, group): &(u32, u16)| listed(id, group, State::Ready, 0);
+        self.node.list(self.now, ListKind::Whole, lines.iter().map(line));
+    }
+
+    pub fn line(&mut self, kind: ListKind, (id, state, started): (u32, State, u64)) {
+        self.node.list(self.now, kind, std::iter::once(listed(id, 1, state, started)));
+    }
+
+    pub fn command(&mut self, profile: u16) -> Command {
+        self.commands += 1;
+        let (id, customer) = (CommandId(self.commands), CustomerId(0));
+        Command::new(id, ProfileId(profile), customer, self.now, Span::millis(500))
+    }
+
+    pub fn place(&mut self, command: &mut Command) -> Say {
+        self.node.place(self.now, Hand(command.id.0), command)
+    }
+
+    pub fn after(&mut self, command: &mut Command, launch: u8, outcome: Outcome) -> Say {
+        self.node.after(self.now, Hand(command.id.0), command, launch, outcome)
+    }
+
+    pub fn errands(&mut self) -> Vec<Errand> {
+        std::iter::from_fn(|| self.node.errand(self.now)).collect()
+    }
+
+    /// Teaches the node that a command takes about 50 ms, on a backend that then goes.
+    pub fn warm_up_costs(&mut self) {
+        self.line(ListKind::Whole, (99, State::Ready, 0));
+        for _ in 0..20 {
+            let mut command = self.command(0);
+            assert!(matches!(self.place(&mut command), Say::Launch(_)));
+            self.later(50);
+            command.closed = true;
+            self.after(&mut command, 0, Outcome::Finished);
+        }
+    }
+}
+
+fn listed(id: u32, group: u16, state: State, started: u64) -> Listed {
+    Listed {
+        backend: BackendId(id),
+        zone: ZoneId(0),
+        kind: KindId(0),
+        group: GroupId(group),
+        state,
+        started: Moment(started),
+    }
+}
