--- a/src/decide.rs
+++ b/src/decide.rs
@@ -574,7 +574,10 @@
         let mean = self.rows[usize::from(command.profile.0)].mean;
         let pace = self.pace(now, b);
         let idle = expected <= cost * pace;
-        let fits = if idle { mean * pace <= left } else { expected * self.margin <= left };
+        // With many nodes an own count of zero is no sign of idleness: most of the margin then, from two nodes on.
+        // (Half to all of it scored alike on small fleets; on large ones none of it let the nodes bury a fleet.)
+        let doubt = self.margin.powf(0.7 - 1.4 / f64::from(self.terms.nodes.max(2)));
+        let fits = if idle { mean * pace * doubt <= left } else { expected * self.margin <= left };
         fits && self.pour(now, b, cost).is_some()
     }
 
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -221,6 +221,26 @@
     }
 }
 
+/// Incidents id15363 and ic6bf4d: among many nodes, none of ours in flight does not make a slow answer timely.
+#[test]
+fn many_nodes_do_not_bury_a_crowded_backend() {
+    for (nodes, sends) in [(1, true), (12, false)] {
+        let mut bench = Bench::with(4, |t| t["balancers"] = nodes.into());
+        bench.line(ListKind::Whole, (1, State::Ready, 0));
+        for n in 0..20 {
+            let mut command = bench.command(0);
+            let say = bench.place(&mut command);
+            assert!(n > 0 || matches!(say, Say::Launch(_)), "what nobody knows yet is tried");
+            assert!(n < 5 || matches!(say, Say::Launch(_)) == sends, "{nodes} nodes: {say:?}");
+            if matches!(say, Say::Launch(_)) {
+                bench.later(GOAL - 15);
+                command.closed = true;
+                bench.after(&mut command, 0, Finished);
+            }
+        }
+    }
+}
+
 /// The list must be asked for: at start, and again after a failure, later each time and within the term.
 #[test]
 fn a_failed_list_call_is_made_again() {
