Make no second copies beside a launch still out

Taking out one departure at a time showed that second copies only lost: where probes are allowed every backend in question answered, so none was ever sent; without probes a long answer mostly is a heavy command or a crowd, which a copy doubles. They are gone, and cancels with them.

--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -237,9 +237,6 @@
                 Errand::Probe(backend) => reply.action(60, self.number, &[&backend.0.to_be_bytes()]),
                 Errand::Close(backend) => reply.action(70, self.number, &[&backend.0.to_be_bytes()]),
                 Errand::Follow => reply.action(110, self.number, &[&[1]]),
-                Errand::Cancel(command, launch) => {
-                    reply.action(40, self.number, &[&command.0.to_be_bytes(), &[launch]]);
-                }
                 Errand::Again(hand) => {
                     if self.hands.contains(hand.0 as usize) {
                         self.again(now, hand.0 as usize, reply);
--- a/src/command.rs
+++ b/src/command.rs
@@ -66,8 +66,6 @@
     pub(crate) look_at: Moment,
     /// Until when it is held for the probes sent on its behalf.
     pub(crate) asked: Moment,
-    /// Its backend was probed for a second copy's sake.
-    pub(crate) checked: bool,
     pub(crate) value: f64,
     pub(crate) order: u64,
     launches: [Option<Launch>; MOST_LAUNCHES],
@@ -89,7 +87,6 @@
             waiting: false,
             look_at: Moment(u64::MAX),
             asked: Moment(0),
-            checked: false,
             value: 0.0,
             order: 0,
             launches: [None; MOST_LAUNCHES],
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -3,12 +3,12 @@
 //! The caller keeps commands and timers in hand and asks three things: `place` (where does this command go:
 //! a backend, not yet, or never), `after` (what follows this outcome) and `wait` (how long until asking
 //! again, for a command or for the node itself). Facts are told through `list`, `report` and `dropped`.
-//! What the node wants besides (probes, list calls, cancels, asking a held command again) comes out of
+//! What the node wants besides (probes, list calls, asking a held command again) comes out of
 //! `errand` as plain values. Nothing here blocks, reads a clock or touches a socket; a second protocol would
 //! use the same calls. The interface is young and may change until a node on sockets uses it.
 
 use crate::command::{Command, Fate, Launch, Outcome, MOST_LAUNCHES};
-use crate::ids::{BackendId, CommandId, GroupId, Hand, KindId, ZoneId};
+use crate::ids::{BackendId, GroupId, Hand, KindId, ZoneId};
 use crate::terms::{Among, Effect, Terms};
 use crate::times::{Moment, Span};
 use std::collections::hash_map::DefaultHasher;
@@ -28,7 +28,6 @@
 pub enum Errand {
     Probe(BackendId),
     Follow,
-    Cancel(CommandId, u8),
     /// Close the idle connections there.
     Close(BackendId),
     /// Ask `place` for this held command again.
@@ -123,7 +122,8 @@
     errands: Vec<Errand>,
     order: u64,
     margin: f64,
-    copies: f64,
+    /// Relaunches that may still be made.
+    relaunches: f64,
     pressure: f64,
     probes: f64,
     probe_trip: f64,
@@ -161,7 +161,7 @@
             errands: Vec::new(),
             order: 0,
             margin: 1.6,
-            copies: 2.0,
+            relaunches: 2.0,
             pressure: 0.0,
             probes: 0.0,
             probe_trip: 0.0,
@@ -200,7 +200,7 @@
             self.meet(now, command);
         }
         if command.out() > 0 {
-            return self.second_copy(now, command);
+            return Say::NotYet;
         }
         if let Some(i) = self.choose(now, command) {
             if !self.ask_first(now, hand, command, i) {
@@ -230,20 +230,13 @@
             self.errands.push(Errand::Again(next.hand));
         }
         if command.closed || outcome == Outcome::Finished {
-            if outcome == Outcome::Finished && self.terms.may_cancel {
-                for (n, other) in command.launches().enumerate() {
-                    if other.fate == Fate::Out {
-                        self.errands.push(Errand::Cancel(command.id, n as u8));
-                    }
-                }
-            }
             return Say::NotYet;
         }
         if command.out() > 0 {
             return Say::NotYet;
         }
-        if now < self.goal_end(command) && self.may_launch(now, command) && self.copies >= 1.0 {
-            self.copies -= 1.0;
+        if now < self.goal_end(command) && self.may_launch(now, command) && self.relaunches >= 1.0 {
+            self.relaunches -= 1.0;
             return self.place(now, hand, command);
         }
         self.give_up(now, command)
@@ -399,7 +392,7 @@
         self.order += 1;
         command.order = self.order;
         // A tenth of the commands may be launched again, with a small store for a sudden loss.
-        self.copies = (self.copies + 0.1).min(10.0);
+        self.relaunches = (self.relaunches + 0.1).min(10.0);
         // Probes are bought for at most four thousandths of a command each.
         self.probes = (self.probes + (0.004 / self.terms.probe_price.max(1e-4)).min(4.0)).min(40.0);
         let cost = self.cost(command);
@@ -641,7 +634,6 @@
         self.unhold(command);
         let cost = self.cost(command);
         let ahead = self.ahead(now, &self.backends[i]);
-        let expected = self.expected(now, &self.backends[i], cost);
         let level = self.pour(now, &self.backends[i], cost).unwrap_or(0.0);
         let b = &mut self.backends[i];
         b.token = None;
@@ -663,11 +655,7 @@
             depth: b.in_flight,
         });
         let backend = b.listed.backend;
-        // The last moment at which a second copy elsewhere could still be in time.
-        let last = self.goal_end(command) - Span((1.2 * cost) as u64);
-        let look = (now + Span((2.0 * expected) as u64)).min(last);
-        let copy = command.launched() == 1 && look > now + Span(expected as u64) && cost > 0.0;
-        command.look_at = if copy { look } else { Moment(u64::MAX) };
+        command.look_at = Moment(u64::MAX);
         if held {
             if let Some(next) = self.held.last() {
                 self.errands.push(Errand::Again(next.hand));
@@ -677,42 +665,6 @@
         Say::Launch(backend)
     }
 
-    fn second_copy(&mut self, now: Moment, command: &mut Command) -> Say {
-        if now < command.look_at {
-            return Say::NotYet;
-        }
-        command.look_at = Moment(u64::MAX);
-        // A probe tells a stalled backend from a heavy command, of which a second copy would be as heavy.
-        let at = command.launches().last().and_then(|l| self.index.get(&l.backend)).copied();
-        if let Some(i) = at.filter(|_| self.terms.may_probe) {
-            let trip = Span(4000 + (4.0 * self.probe_trip) as u64);
-            let b = &mut self.backends[i];
-            match b.probe_out {
-                None if command.checked => return Say::NotYet,
-                Some(_) if command.checked => {}
-                out => {
-                    if out.is_none() {
-                        b.probe_out = Some(now);
-                        self.errands.push(Errand::Probe(b.listed.backend));
-                    }
-                    command.checked = true;
-                    command.look_at = now + trip;
-                    return Say::NotYet;
-                }
-            }
-        }
-        if !self.terms.second_copies || !self.held.is_empty() || self.copies < 1.0 {
-            return Say::NotYet;
-        }
-        match self.choose(now, command) {
-            Some(i) if self.backends[i].in_flight == 0 => {
-                self.copies -= 1.0;
-                self.launch(now, command, i)
-            }
-            _ => Say::NotYet,
-        }
-    }
-
     /// Where other nodes send too and probes are allowed, a launch on stale news asks first: some backends
     /// are probed and the command is held for the trip, a hundredth of its time. True while it is to wait.
     fn ask_first(&mut self, now: Moment, hand: Hand, command: &mut Command, i: usize) -> bool {
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -47,8 +47,6 @@
     /// Where a load report holds the commands in flight and those queued.
     pub report_held: Option<usize>,
     pub report_queued: Option<usize>,
-    pub may_cancel: bool,
-    pub second_copies: bool,
     pub most_launches: usize,
     pub come_back: bool,
     pub longest_come_back: Span,
@@ -166,8 +164,6 @@
             may_probe: flag("mayProbe")?,
             report_held: place("outstanding"),
             report_queued: place("backlog"),
-            may_cancel: flag("cancel")?,
-            second_copies: flag("secondCopies")?,
             most_launches: limits.at("mostLaunches")?.number(1.0, 1e6)? as usize,
             come_back,
             longest_come_back: match come_back {
