--- a/src/decide.rs
+++ b/src/decide.rs
@@ -391,8 +391,9 @@
         command.seen = true;
         self.order += 1;
         command.order = self.order;
-        // A tenth of the commands may be launched again, with a small store for a sudden loss.
-        self.relaunches = (self.relaunches + 0.1).min(10.0);
+        // Half the commands may be launched again, with a small store for a sudden loss: a tenth ran dry when a zone
+        // was lost, and only a bound is meant, lest relaunches outnumber what comes in.
+        self.relaunches = (self.relaunches + 0.5).min(50.0);
         // Probes are bought for at most four thousandths of a command each.
         self.probes = (self.probes + (0.004 / self.terms.probe_price.max(1e-4)).min(4.0)).min(40.0);
         let cost = self.cost(command);
