--- a/src/decide.rs
+++ b/src/decide.rs
@@ -11,6 +11,7 @@
 use crate::ids::{BackendId, GroupId, Hand, KindId, ZoneId};
 use crate::terms::{Among, Effect, Terms};
 use crate::times::{Moment, Span};
+use std::cmp::Reverse;
 use std::collections::hash_map::DefaultHasher;
 use std::collections::BTreeMap;
 use std::hash::Hasher;
@@ -90,7 +91,7 @@
     poured_at: Moment,
 }
 
-/// What is learned by profile: work for each unit of hint (or for each command, without hints).
+/// What is learned by profile: the usual work, and how far hints tell it.
 struct Row {
     mean: f64,
     /// Mean and spread of the hints, and how work goes along with them.
@@ -140,6 +141,12 @@
 /// News for so long: a tenth of a command's usual time there.
 const FRESH: Span = Span::millis(6);
 
+impl Backend {
+    fn ghost_left(&self, now: Moment) -> f64 {
+        (self.ghost - now.since(self.ghost_at).micros() / self.pace).max(0.0)
+    }
+}
+
 impl Balancer {
     pub fn new(terms: Terms, seed: u64, now: Moment) -> Balancer {
         let rows =
@@ -226,20 +233,15 @@
         launch.fate = if outcome.proves_not_run() { Fate::NotRun } else { Fate::MayHaveRun };
         let launch = *launch;
         self.learn(now, command, &launch, outcome);
-        if let Some(next) = self.held.last() {
-            self.errands.push(Errand::Again(next.hand));
-        }
-        if command.closed || outcome == Outcome::Finished {
-            return Say::NotYet;
-        }
-        if command.out() > 0 {
+        self.wake_next();
+        if command.closed || outcome == Outcome::Finished || command.out() > 0 {
             return Say::NotYet;
         }
         if now < self.goal_end(command) && self.may_launch(now, command) && self.relaunches >= 1.0 {
             self.relaunches -= 1.0;
             return self.place(now, hand, command);
         }
-        self.give_up(now, command)
+        self.give_up(command)
     }
 
     /// How long until `place` should be asked again for this command, or `errand` for the node (`None`).
@@ -288,9 +290,7 @@
                 backend.token = None;
             }
         }
-        if let Some(next) = self.held.last() {
-            self.errands.push(Errand::Again(next.hand));
-        }
+        self.wake_next();
     }
 
     fn line(&mut self, now: Moment, line: Listed) {
@@ -362,9 +362,7 @@
             if b.served && b.listed.state == State::Ready {
                 b.token = Some(now);
             }
-            if let Some(next) = self.held.last() {
-                self.errands.push(Errand::Again(next.hand));
-            }
+            self.wake_next();
         }
     }
 
@@ -391,8 +389,8 @@
         command.seen = true;
         self.order += 1;
         command.order = self.order;
-        // Half the commands may be launched again, with a small store for a sudden loss: a tenth ran dry when a zone
-        // was lost, and only a bound is meant, lest relaunches outnumber what comes in.
+        // Half the commands may be launched again, with a small store for a sudden loss: a tenth ran dry when
+        // a zone was lost, and only a bound is meant, lest relaunches outnumber what comes in.
         self.relaunches = (self.relaunches + 0.5).min(50.0);
         // Probes are bought for at most four thousandths of a command each.
         self.probes = (self.probes + (0.004 / self.terms.probe_price.max(1e-4)).min(4.0)).min(40.0);
@@ -459,7 +457,8 @@
     }
 
     /// Time there for a unit of work. What is not known yet is taken from the kind and the warm-up; what was
-    /// learned fades by half each second after the first without an answer, or a backend once slow is never tried again.
+    /// learned fades by half each second after the first without an answer, or a backend once slow is never
+    /// tried again.
     fn pace(&self, now: Moment, b: &Backend) -> f64 {
         if b.answers < 3 {
             return b.pace / self.warmth(now, b.listed.started);
@@ -479,9 +478,14 @@
         ahead + cost * pace
     }
 
+    /// The usual work of the heaviest profile, for commands whose profile is not known.
+    fn usual_work(&self) -> f64 {
+        self.rows.iter().map(|r| r.mean).fold(0.0, f64::max)
+    }
+
     fn ahead(&self, now: Moment, b: &Backend) -> f64 {
-        let ghost = (b.ghost - now.since(b.ghost_at).micros() / b.pace).max(0.0);
-        let mean = self.rows.iter().map(|r| r.mean).fold(0.0, f64::max);
+        let ghost = b.ghost_left(now);
+        let mean = self.usual_work();
         // A report tells little once the commands it counted have been worked off.
         let age = now.since(b.report_at).micros();
         let others = (b.others * mean - age / b.pace).max(0.0);
@@ -494,7 +498,7 @@
         }
         let first = command.launched() == 0;
         let explore = self.unit() < EXPLORE;
-        let mut ready = std::mem::take(&mut self.ready);
+        let ready = std::mem::take(&mut self.ready);
         let mut pool = std::mem::take(&mut self.pool);
         pool.clear();
         let mut hopeful = false;
@@ -527,8 +531,8 @@
             };
             best = Some(if rank(b) < rank(a) { b } else { a });
         }
-        std::mem::swap(&mut self.ready, &mut ready);
-        std::mem::swap(&mut self.pool, &mut pool);
+        self.ready = ready;
+        self.pool = pool;
         best
     }
 
@@ -564,12 +568,12 @@
         let cost = self.cost(command);
         let left = self.goal_end(command).since(now).micros();
         let expected = self.expected(now, b, cost);
-        // With nothing ahead there is no better place for it: only a backend that is late as a rule is left out.
+        // With nothing ahead there is no better place for it: only a backend late as a rule is left out.
         let mean = self.rows[usize::from(command.profile.0)].mean;
         let pace = self.pace(now, b);
         let idle = expected <= cost * pace;
-        // With many nodes an own count of zero is no sign of idleness: most of the margin then, from two nodes on.
-        // (Half to all of it scored alike on small fleets; on large ones none of it let the nodes bury a fleet.)
+        // With many nodes an own count of zero is no sign of idleness: most of the margin then, from two on.
+        // (Half of it scored alike on small fleets; on large ones none of it let the nodes bury a fleet.)
         let doubt = self.margin.powf(0.7 - 1.4 / f64::from(self.terms.nodes.max(2)));
         let fits = if idle { mean * pace * doubt <= left } else { expected * self.margin <= left };
         fits && self.pour(now, b, cost).is_some()
@@ -612,7 +616,7 @@
             return false;
         }
         // The chance drawn must be 0.8: it is above x if fewer than `a` of `a + b - 1` draws fall under x.
-        let (a, n) = (1 + b.good.round() as u32, 1 + b.good.round() as u32 + b.bad.round() as u32);
+        let (a, n) = (1 + b.good.round() as u32, 1 + (b.good.round() + b.bad.round()) as u32);
         let under = (0..n).filter(|_| self.unit() < 0.8).count() as u32;
         under < a
     }
@@ -658,9 +662,7 @@
         let backend = b.listed.backend;
         command.look_at = Moment(u64::MAX);
         if held {
-            if let Some(next) = self.held.last() {
-                self.errands.push(Errand::Again(next.hand));
-            }
+            self.wake_next();
         }
         self.pressure *= 0.98;
         Say::Launch(backend)
@@ -687,13 +689,17 @@
         now.since(b.report_at.max(b.token.unwrap_or(Moment(0)))) <= FRESH
     }
 
+    fn probe(&mut self, now: Moment, i: usize) {
+        self.probes = (self.probes - 1.0).max(0.0);
+        self.backends[i].probe_out = Some(now);
+        self.errands.push(Errand::Probe(self.backends[i].listed.backend));
+    }
+
     fn probe_some(&mut self, now: Moment, i: usize) {
         let mut next = i;
         for _ in 0..ASKED {
             if self.backends[next].probe_out.is_none() {
-                self.probes -= 1.0;
-                self.backends[next].probe_out = Some(now);
-                self.errands.push(Errand::Probe(self.backends[next].listed.backend));
+                self.probe(now, next);
             }
             let draw = self.chance() % self.ready.len() as u64;
             next = self.ready[draw as usize];
@@ -704,7 +710,7 @@
 
     /// Own launches that end in a microsecond, by what each backend's answers take.
     fn rate(&self, now: Moment) -> f64 {
-        let mean = self.rows.iter().map(|r| r.mean).fold(0.0, f64::max).max(1.0);
+        let mean = self.usual_work().max(1.0);
         let up = self.ready.iter().map(|&i| &self.backends[i]).filter(|b| b.bad < 0.3 && !b.down);
         up.map(|b| {
             let others = self.ahead(now, b) - b.pending;
@@ -715,9 +721,9 @@
 
     fn hold(&mut self, now: Moment, hand: Hand, command: &mut Command) -> Say {
         if !self.may_launch(now, command) {
-            return self.give_up(now, command);
+            return self.give_up(command);
         }
-        let at = self.held.partition_point(|h| (h.value, std::cmp::Reverse(h.order)) < rank(command));
+        let at = self.standing(command);
         let ahead = self.held.len() - at;
         let cost = self.cost(command);
         // A held command starts with nothing ahead of it: it needs less than one sent to stand behind others.
@@ -729,10 +735,10 @@
                 command.look_at = latest;
                 return Say::NotYet;
             }
-            return self.give_up(now, command);
+            return self.give_up(command);
         }
         if now + wait >= latest {
-            return self.give_up(now, command);
+            return self.give_up(command);
         }
         self.insert(latest, hand, command);
         // Whoever is pushed out of time by this one is told at once.
@@ -745,11 +751,24 @@
         Say::NotYet
     }
 
+    /// Something may have come free: the next held command is asked again.
+    fn wake_next(&mut self) {
+        if let Some(next) = self.held.last() {
+            self.errands.push(Errand::Again(next.hand));
+        }
+    }
+
+    /// Where a command stands among the held, or would.
+    fn standing(&self, command: &Command) -> usize {
+        let rank = (command.value, Reverse(command.order));
+        self.held.partition_point(|h| (h.value, Reverse(h.order)) < rank)
+    }
+
     fn insert(&mut self, latest: Moment, hand: Hand, command: &mut Command) {
         command.look_at = latest;
         if !command.waiting {
             command.waiting = true;
-            let at = self.held.partition_point(|h| (h.value, std::cmp::Reverse(h.order)) < rank(command));
+            let at = self.standing(command);
             let (value, order) = (command.value, command.order);
             self.held.insert(at, Held { value, order, hand, latest });
         }
@@ -758,13 +777,13 @@
     fn unhold(&mut self, command: &mut Command) {
         if command.waiting {
             command.waiting = false;
-            let at = self.held.partition_point(|h| (h.value, std::cmp::Reverse(h.order)) < rank(command));
+            let at = self.standing(command);
             debug_assert_eq!(self.held[at].order, command.order);
             self.held.remove(at);
         }
     }
 
-    fn give_up(&mut self, _now: Moment, command: &mut Command) -> Say {
+    fn give_up(&mut self, command: &mut Command) -> Say {
         self.unhold(command);
         command.closed = true;
         command.look_at = Moment(u64::MAX);
@@ -787,8 +806,8 @@
             self.errands.push(Errand::Close(launch.backend));
         }
         let b = &self.backends[i];
-        // A time-out tells of the backend only if it was silent throughout, and for long: some clients give up
-        // within a usual answer's time, and a heavy command takes long anywhere.
+        // A time-out tells of the backend only if it was silent throughout, and for long: some clients
+        // give up within a usual answer's time, and a heavy command takes long anywhere.
         let silent = b.quiet_since <= launch.sent && took > 4.0 * launch.ahead * b.pace;
         let bad = match outcome {
             Outcome::TimedOut if !silent => 0.0,
@@ -803,7 +822,7 @@
         b.in_flight -= 1;
         b.pending = if b.in_flight == 0 { 0.0 } else { (b.pending - launch.cost).max(0.0) };
         if matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) && !before {
-            b.ghost = (b.ghost - now.since(b.ghost_at).micros() / b.pace).max(0.0) + launch.cost;
+            b.ghost = b.ghost_left(now) + launch.cost;
             b.ghost_at = now;
             if took > launch.ahead * b.pace {
                 b.pace += 0.1 * (took / launch.ahead.max(1.0) - b.pace).min(3.0 * b.pace);
@@ -819,7 +838,7 @@
             b.ghost = 0.0;
         }
         if b.in_flight == 0 && b.listed.state == State::Ready {
-            let ghost = (b.ghost - now.since(b.ghost_at).micros() / b.pace).max(0.0);
+            let ghost = b.ghost_left(now);
             b.token = (ghost == 0.0).then_some(now);
         }
         b.answers += 1;
@@ -877,9 +896,7 @@
             let blind = b.in_flight == 0 && b.token.is_none_or(|at| now.since(at).micros() > 50_000.0);
             let due = if blind && self.probes >= 1.0 { 20_000.0 } else { 500_000.0 };
             if b.probe_out.is_none() && age > due && now.since(b.quiet_since).micros() > due {
-                self.probes = (self.probes - 1.0).max(0.0);
-                self.backends[i].probe_out = Some(now);
-                self.errands.push(Errand::Probe(self.backends[i].listed.backend));
+                self.probe(now, i);
             }
         }
     }
@@ -892,7 +909,3 @@
     zone: Option<ZoneId>,
     group: Option<GroupId>,
 }
-
-fn rank(command: &Command) -> (f64, std::cmp::Reverse<u64>) {
-    (command.value, std::cmp::Reverse(command.order))
-}
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -48,7 +48,6 @@
     pub report_held: Option<usize>,
     pub report_queued: Option<usize>,
     pub most_launches: usize,
-    pub come_back: bool,
     pub longest_come_back: Span,
     pub probe_price: f64,
     pub crossing_price: f64,
@@ -165,7 +164,6 @@
             report_held: place("outstanding"),
             report_queued: place("backlog"),
             most_launches: limits.at("mostLaunches")?.number(1.0, 1e6)? as usize,
-            come_back,
             longest_come_back: match come_back {
                 true => limits.at("maxRetryAfter")?.span()?,
                 false => Span(0),
