--- a/src/command.rs
+++ b/src/command.rs
@@ -66,6 +66,7 @@
     pub(crate) look_at: Moment,
     /// Until when it is held for the probes sent on its behalf.
     pub(crate) asked: Moment,
+    pub(crate) rounds: u8,
     pub(crate) value: f64,
     pub(crate) order: u64,
     launches: [Option<Launch>; MOST_LAUNCHES],
@@ -87,6 +88,7 @@
             waiting: false,
             look_at: Moment(u64::MAX),
             asked: Moment(0),
+            rounds: 0,
             value: 0.0,
             order: 0,
             launches: [None; MOST_LAUNCHES],
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -128,7 +128,6 @@
     pressure: f64,
     probes: f64,
     probe_trip: f64,
-    tick_at: Moment,
     follow_at: Moment,
     failures: u32,
 }
@@ -138,8 +137,10 @@
 const EXPLORE: f64 = 0.1;
 /// Backends probed for a launch: three find an idle one nearly always at two thirds load.
 const ASKED: usize = 3;
+/// Rounds of them for a command while none is found idle: the second finds one of the tenth that is left.
+const ROUNDS: u8 = 2;
 /// News for so long: a tenth of a command's usual time there.
-const FRESH: Span = Span::millis(6);
+const FRESH: Span = Span::millis(10);
 
 impl Backend {
     fn ghost_left(&self, now: Moment) -> f64 {
@@ -152,7 +153,7 @@
         let rows =
             terms.profiles.iter().map(|_| Row { mean: 0.0, hint: 0.0, spread: 0.0, along: 0.0 }).collect();
         let quotas = terms.customers.iter().map(|_| (0.0, now)).collect();
-        let (must_ask, may_probe) = (terms.must_ask, terms.may_probe);
+        let must_ask = terms.must_ask;
         let mut node = Balancer {
             terms,
             seed,
@@ -172,7 +173,6 @@
             pressure: 0.0,
             probes: 0.0,
             probe_trip: 0.0,
-            tick_at: if may_probe { now } else { Moment(u64::MAX) },
             follow_at: Moment(u64::MAX),
             failures: 0,
         };
@@ -248,7 +248,7 @@
     pub fn wait(&self, now: Moment, command: Option<&Command>) -> Option<Span> {
         let at = match command {
             Some(command) => command.look_at,
-            None => self.tick_at.min(self.follow_at),
+            None => self.follow_at,
         };
         (at < Moment(u64::MAX)).then(|| at.since(now))
     }
@@ -376,10 +376,6 @@
             self.follow_at = now + Span(self.terms.ask_within.0 / 2);
             return Some(Errand::Follow);
         }
-        if now >= self.tick_at {
-            self.tick(now);
-            return self.errands.pop();
-        }
         None
     }
 
@@ -392,8 +388,8 @@
         // Half the commands may be launched again, with a small store for a sudden loss: a tenth ran dry when
         // a zone was lost, and only a bound is meant, lest relaunches outnumber what comes in.
         self.relaunches = (self.relaunches + 0.5).min(50.0);
-        // Probes are bought for at most four thousandths of a command each.
-        self.probes = (self.probes + (0.004 / self.terms.probe_price.max(1e-4)).min(4.0)).min(40.0);
+        // Probes are bought for at most a hundredth of a command each.
+        self.probes = (self.probes + (0.01 / self.terms.probe_price.max(1e-4)).min(5.0)).min(40.0);
         let cost = self.cost(command);
         let profile = &self.terms.profiles[usize::from(command.profile.0)];
         let mut value = profile.payoff;
@@ -530,6 +526,10 @@
                 (b.in_flight + others, self.step(b))
             };
             best = Some(if rank(b) < rank(a) { b } else { a });
+            if command.asked > Moment(0) {
+                // Those asked for this command were drawn at random: the least busy of them all.
+                best = pool.iter().copied().min_by_key(|&i| rank(i));
+            }
         }
         self.ready = ready;
         self.pool = pool;
@@ -671,12 +671,15 @@
     /// Where other nodes send too and probes are allowed, a launch on stale news asks first: some backends
     /// are probed and the command is held for the trip, a hundredth of its time. True while it is to wait.
     fn ask_first(&mut self, now: Moment, hand: Hand, command: &mut Command, i: usize) -> bool {
-        if !self.terms.may_probe || self.terms.nodes < 2 || self.fresh(now, i) {
+        let b = &self.backends[i];
+        let idle = self.fresh(now, i) && b.in_flight == 0 && self.ahead(now, b) == 0.0;
+        if !self.terms.may_probe || self.terms.nodes < 2 || idle {
             return false;
         }
-        let trip = Span(2500 + (2.0 * self.probe_trip) as u64);
-        if command.asked == Moment(0) && self.probes >= ASKED as f64 {
+        if now >= command.asked && command.rounds < ROUNDS && self.probes >= ASKED as f64 {
+            let trip = Span(2500 + (2.0 * self.probe_trip) as u64);
             command.asked = now + trip;
+            command.rounds += 1;
             self.probe_some(now, i);
             self.insert(now + trip, hand, command);
         }
@@ -733,6 +736,14 @@
         if command.waiting {
             if now < latest && now + wait.scaled(0.5) < latest {
                 command.look_at = latest;
+                if self.terms.may_probe && self.terms.nodes > 1 && self.probes >= ASKED as f64 {
+                    // Own answers are rare among many nodes: what has come free must be asked for.
+                    let any = self.chance() % self.ready.len().max(1) as u64;
+                    if let Some(&i) = self.ready.get(any as usize) {
+                        self.probe_some(now, i);
+                    }
+                    command.look_at = latest.min(now + Span::millis(20));
+                }
                 return Say::NotYet;
             }
             return self.give_up(command);
@@ -883,23 +894,6 @@
         let kind = self.kind_pace.entry(b.listed.kind).or_insert(1.0);
         *kind += 0.02 * (pace - *kind);
     }
-
-    // ---- the node's own upkeep ----
-
-    /// Every ten milliseconds, a part of a command's time: probes where our own answers tell nothing.
-    fn tick(&mut self, now: Moment) {
-        self.tick_at = now + Span::millis(10);
-        for n in 0..self.ready.len() {
-            let i = self.ready[n];
-            let b = &self.backends[i];
-            let age = now.since(b.report_at).micros();
-            let blind = b.in_flight == 0 && b.token.is_none_or(|at| now.since(at).micros() > 50_000.0);
-            let due = if blind && self.probes >= 1.0 { 20_000.0 } else { 500_000.0 };
-            if b.probe_out.is_none() && age > due && now.since(b.quiet_since).micros() > due {
-                self.probe(now, i);
-            }
-        }
-    }
 }
 
 struct Bounds {
