--- a/src/decide.rs
+++ b/src/decide.rs
@@ -126,6 +126,8 @@
     /// Relaunches that may still be made.
     relaunches: f64,
     pressure: f64,
+    /// Commands of others that backends hold, by the reports of late.
+    crowd: f64,
     probes: f64,
     probe_trip: f64,
     follow_at: Moment,
@@ -171,6 +173,7 @@
             margin: 1.6,
             relaunches: 2.0,
             pressure: 0.0,
+            crowd: 0.0,
             probes: 0.0,
             probe_trip: 0.0,
             follow_at: Moment(u64::MAX),
@@ -239,6 +242,7 @@
         }
         if now < self.goal_end(command) && self.may_launch(now, command) && self.relaunches >= 1.0 {
             self.relaunches -= 1.0;
+            command.rounds = 0;
             return self.place(now, hand, command);
         }
         self.give_up(command)
@@ -357,6 +361,8 @@
         let held = f64::from(held.max(queued.unwrap_or(0.0))).round();
         b.others = (held - f64::from(b.in_flight)).max(0.0);
         b.report_at = now;
+        // Some twenty reports: a few seconds of a node that sees little, and no single one tells much.
+        self.crowd += 0.05 * (b.others - self.crowd);
         if held == 0.0 && b.in_flight == 0 {
             b.ghost = 0.0;
             if b.served && b.listed.state == State::Ready {
@@ -480,12 +486,13 @@
     }
 
     fn ahead(&self, now: Moment, b: &Backend) -> f64 {
-        let ghost = b.ghost_left(now);
-        let mean = self.usual_work();
-        // A report tells little once the commands it counted have been worked off.
-        let age = now.since(b.report_at).micros();
-        let others = (b.others * mean - age / b.pace).max(0.0);
-        b.pending + ghost.max(others)
+        b.pending + b.ghost_left(now).max(self.others(now, b) * self.usual_work())
+    }
+
+    /// Commands of others there: by its last report, and the longer ago that was, by what is usual.
+    fn others(&self, now: Moment, b: &Backend) -> f64 {
+        let halves = now.since(b.report_at).micros() / (self.usual_work() * b.pace).max(1.0);
+        self.crowd + (b.others - self.crowd) * (-halves).exp2()
     }
 
     fn choose(&mut self, now: Moment, command: &Command) -> Option<usize> {
@@ -522,8 +529,7 @@
             // What a fresh report shows of others counts as our own would.
             let rank = |i: usize| {
                 let b = &self.backends[i];
-                let others = if self.ahead(now, b) > b.pending { b.others as u32 } else { 0 };
-                (b.in_flight + others, self.step(b))
+                (b.in_flight + self.others(now, b).round() as u32, self.step(b))
             };
             best = Some(if rank(b) < rank(a) { b } else { a });
             if command.asked > Moment(0) {
@@ -547,7 +553,8 @@
     fn oldest_token(&self, now: Moment, pool: &[usize]) -> Option<usize> {
         let held = pool.iter().copied().filter(|&i| {
             let b = &self.backends[i];
-            b.token.is_some_and(|at| now.since(at) < TOKEN_EXPIRY) && self.ahead(now, b) == 0.0
+            let news = b.token.is_some_and(|at| now.since(at) < TOKEN_EXPIRY && at >= b.report_at);
+            news || b.token.is_some() && b.others == 0.0
         });
         held.min_by_key(|&i| (self.step(&self.backends[i]), self.backends[i].token))
     }
@@ -571,7 +578,7 @@
         // With nothing ahead there is no better place for it: only a backend late as a rule is left out.
         let mean = self.rows[usize::from(command.profile.0)].mean;
         let pace = self.pace(now, b);
-        let idle = expected <= cost * pace;
+        let idle = b.in_flight == 0 && b.ghost_left(now) == 0.0 && self.others(now, b) < 0.5;
         // With many nodes an own count of zero is no sign of idleness: most of the margin then, from two on.
         // (Half of it scored alike on small fleets; on large ones none of it let the nodes bury a fleet.)
         let doubt = self.margin.powf(0.7 - 1.4 / f64::from(self.terms.nodes.max(2)));
@@ -672,7 +679,7 @@
     /// are probed and the command is held for the trip, a hundredth of its time. True while it is to wait.
     fn ask_first(&mut self, now: Moment, hand: Hand, command: &mut Command, i: usize) -> bool {
         let b = &self.backends[i];
-        let idle = self.fresh(now, i) && b.in_flight == 0 && self.ahead(now, b) == 0.0;
+        let idle = self.fresh(now, i) && b.in_flight == 0 && b.others == 0.0;
         if !self.terms.may_probe || self.terms.nodes < 2 || idle {
             return false;
         }
@@ -832,6 +839,12 @@
         let before = launch.sent < b.listed.started;
         b.in_flight -= 1;
         b.pending = if b.in_flight == 0 { 0.0 } else { (b.pending - launch.cost).max(0.0) };
+        if outcome == Outcome::Full && self.terms.may_probe {
+            // As good as a report: there is more than it can do in time.
+            b.others = self.terms.profiles[usize::from(command.profile.0)].goal_time.micros()
+                / self.rows[usize::from(command.profile.0)].mean.max(1.0);
+            b.report_at = now;
+        }
         if matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) && !before {
             b.ghost = b.ghost_left(now) + launch.cost;
             b.ghost_at = now;
