Meet only as many backends as can be sent to within a token's life, in the node's own order

Cause: a node with seven commands a second over 200 backends meets each every half minute: tokens, paces and posteriors were all out of date. Now each meets a dozen or so, others meet others.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -63,6 +63,8 @@
 
 struct Backend {
     listed: Listed,
+    /// This node's own order of the backends: those it meets come first.
+    rank: u64,
     token: Option<Moment>,
     served: bool,
     in_flight: u32,
@@ -113,7 +115,12 @@
     draws: u64,
     backends: Vec<Backend>,
     index: BTreeMap<BackendId, usize>,
+    /// By rank: the first `reach` are met.
     ready: Vec<usize>,
+    reach: usize,
+    /// Commands of late, halved in four seconds.
+    met: f64,
+    met_at: Moment,
     pool: Vec<usize>,
     rows: Vec<Row>,
     quotas: Vec<(f64, Moment)>,
@@ -137,6 +144,8 @@
 /// The proposal's expiry and exploring share.
 const TOKEN_EXPIRY: Span = Span::millis(2000);
 const EXPLORE: f64 = 0.1;
+/// Backends met at the least: with a dozen, a third failing at once still leaves a choice.
+const FEWEST: usize = 12;
 /// Backends probed for a launch: three find an idle one nearly always at two thirds load.
 const ASKED: usize = 3;
 /// Rounds of them for a command while none is found idle: the second finds one of the tenth that is left.
@@ -163,6 +172,9 @@
             backends: Vec::new(),
             index: BTreeMap::new(),
             ready: Vec::new(),
+            reach: FEWEST,
+            met: 0.0,
+            met_at: now,
             pool: Vec::new(),
             rows,
             quotas,
@@ -188,9 +200,13 @@
 
     fn chance(&mut self) -> u64 {
         self.draws += 1;
+        self.hash(self.draws)
+    }
+
+    fn hash(&self, number: u64) -> u64 {
         let mut hasher = DefaultHasher::new();
         hasher.write_u64(self.seed);
-        hasher.write_u64(self.draws);
+        hasher.write_u64(number);
         hasher.finish()
     }
 
@@ -294,6 +310,8 @@
                 backend.token = None;
             }
         }
+        let backends = &self.backends;
+        self.ready.sort_unstable_by_key(|&i| backends[i].rank);
         self.wake_next();
     }
 
@@ -301,6 +319,7 @@
         let kind_pace = self.kind_pace.get(&line.kind).copied().unwrap_or(1.0);
         let fresh = Backend {
             listed: line,
+            rank: self.hash(u64::MAX - u64::from(line.backend.0)),
             token: None,
             served: false,
             in_flight: 0,
@@ -391,6 +410,12 @@
         command.seen = true;
         self.order += 1;
         command.order = self.order;
+        // A node meets as many backends as it can send to within a token's life: spread over hundreds it would
+        // know none of them, while other nodes meet others.
+        self.met = 1.0 + self.met * (-now.since(self.met_at).micros() / 4e6).exp2();
+        self.met_at = now;
+        let rate = self.met * std::f64::consts::LN_2 / 4e6;
+        self.reach = FEWEST.max((rate * TOKEN_EXPIRY.micros()) as usize);
         // Half the commands may be launched again, with a small store for a sudden loss: a tenth ran dry when
         // a zone was lost, and only a bound is meant, lest relaunches outnumber what comes in.
         self.relaunches = (self.relaunches + 0.5).min(50.0);
@@ -505,7 +530,9 @@
         let mut pool = std::mem::take(&mut self.pool);
         pool.clear();
         let mut hopeful = false;
-        for &i in &ready {
+        // A tagged command that may have run is bound to a group that this node may never meet otherwise.
+        let reach = if command.launched() == 0 { self.reach.min(ready.len()) } else { ready.len() };
+        for &i in &ready[..reach] {
             let willing = self.willing(now, i, command);
             hopeful |= willing;
             if willing && self.room(now, i, command) {
@@ -514,7 +541,7 @@
         }
         if !hopeful {
             // When all look bad, all are as good as any.
-            pool.extend(ready.iter().copied().filter(|&i| self.room(now, i, command)));
+            pool.extend(ready[..reach].iter().copied().filter(|&i| self.room(now, i, command)));
         }
         let mut best = None;
         if first && !explore {
@@ -596,11 +623,17 @@
         (start + (1.0 - start) * share).min(1.0)
     }
 
+    /// How many nodes meet a backend, ourselves among them.
+    fn sharers(&self) -> f64 {
+        let part = self.reach as f64 / self.ready.len().max(1) as f64;
+        (f64::from(self.terms.nodes) * part.min(1.0)).max(1.0)
+    }
+
     /// Our part of what a cold backend can take in the stated span, as a vessel that drains: its level after
     /// this work, or nothing if that would be too much. Half the budget fills it, half drains it.
     fn pour(&self, now: Moment, b: &Backend, cost: f64) -> Option<f64> {
         let warmth = self.warmth(now, b.listed.started);
-        let rate = 0.4 * self.terms.push_over_multiple * warmth / f64::from(self.terms.nodes.max(1));
+        let rate = 0.4 * self.terms.push_over_multiple * warmth / self.sharers();
         let level = (b.poured - rate * now.since(b.poured_at).micros()).max(0.0) + cost;
         let brim = rate * self.terms.push_over_span.micros();
         (warmth >= 1.0 || level <= brim || level <= cost).then_some(level)
@@ -705,14 +738,18 @@
         self.errands.push(Errand::Probe(self.backends[i].listed.backend));
     }
 
+    fn met_one(&mut self) -> usize {
+        let draw = self.chance() as usize;
+        self.ready[draw % self.ready.len().min(self.reach)]
+    }
+
     fn probe_some(&mut self, now: Moment, i: usize) {
         let mut next = i;
         for _ in 0..ASKED {
             if self.backends[next].probe_out.is_none() {
                 self.probe(now, next);
             }
-            let draw = self.chance() % self.ready.len() as u64;
-            next = self.ready[draw as usize];
+            next = self.met_one();
         }
     }
 
@@ -721,7 +758,8 @@
     /// Own launches that end in a microsecond, by what each backend's answers take.
     fn rate(&self, now: Moment) -> f64 {
         let mean = self.usual_work().max(1.0);
-        let up = self.ready.iter().map(|&i| &self.backends[i]).filter(|b| b.bad < 0.3 && !b.down);
+        let up =
+            self.ready.iter().take(self.reach).map(|&i| &self.backends[i]).filter(|b| b.bad < 0.3 && !b.down);
         up.map(|b| {
             let others = self.ahead(now, b) - b.pending;
             b.cap.floor() / (b.pace * (mean + others))
@@ -745,8 +783,8 @@
                 command.look_at = latest;
                 if self.terms.may_probe && self.terms.nodes > 1 && self.probes >= ASKED as f64 {
                     // Own answers are rare among many nodes: what has come free must be asked for.
-                    let any = self.chance() % self.ready.len().max(1) as u64;
-                    if let Some(&i) = self.ready.get(any as usize) {
+                    if !self.ready.is_empty() {
+                        let i = self.met_one();
                         self.probe_some(now, i);
                     }
                     command.look_at = latest.min(now + Span::millis(20));
