--- a/src/decide.rs
+++ b/src/decide.rs
@@ -317,6 +317,9 @@
 
     fn line(&mut self, now: Moment, line: Listed) {
         let kind_pace = self.kind_pace.get(&line.kind).copied().unwrap_or(1.0);
+        // Many nodes' parts of a cold backend's budget come to less than a command each: their vessels start
+        // filled by a random part of one, so that their first commands do not come all together.
+        let poured = self.first_cost() * self.unit();
         let fresh = Backend {
             listed: line,
             rank: self.hash(u64::MAX - u64::from(line.backend.0)),
@@ -338,7 +341,7 @@
             report_at: Moment(0),
             probe_out: None,
             down: false,
-            poured: 0.0,
+            poured,
             poured_at: now,
         };
         match self.index.get(&line.backend) {
@@ -505,6 +508,12 @@
         ahead + cost * pace
     }
 
+    /// The usual work, or before any answer a guess that is rather too high.
+    fn first_cost(&self) -> f64 {
+        let goal = self.terms.profiles.iter().map(|p| p.goal_time.micros()).fold(0.0, f64::max);
+        if self.usual_work() > 0.0 { self.usual_work() } else { 0.25 * goal }
+    }
+
     /// The usual work of the heaviest profile, for commands whose profile is not known.
     fn usual_work(&self) -> f64 {
         self.rows.iter().map(|r| r.mean).fold(0.0, f64::max)
@@ -634,6 +643,7 @@
     fn pour(&self, now: Moment, b: &Backend, cost: f64) -> Option<f64> {
         let warmth = self.warmth(now, b.listed.started);
         let rate = 0.4 * self.terms.push_over_multiple * warmth / self.sharers();
+        let cost = if cost > 0.0 { cost } else { self.first_cost() };
         let level = (b.poured - rate * now.since(b.poured_at).micros()).max(0.0) + cost;
         let brim = rate * self.terms.push_over_span.micros();
         (warmth >= 1.0 || level <= brim || level <= cost).then_some(level)
