Close by degrees to the cheapest work as launches pass their goal time

Each late launch now closes the node by a share, each command opens it a little; who is let in is drawn by value.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -133,6 +133,9 @@
     /// Relaunches that may still be made.
     relaunches: f64,
     pressure: f64,
+    /// Of the work that comes, the share let in: the dearest. What came of late, by value and cost.
+    open: f64,
+    recent: [(f64, f64); RECENT],
     /// Commands of others that backends hold, by the reports of late.
     crowd: f64,
     probes: f64,
@@ -146,6 +149,10 @@
 const EXPLORE: f64 = 0.1;
 /// Backends met at the least: with a dozen, a third failing at once still leaves a choice.
 const FEWEST: usize = 12;
+/// Enough commands to tell dear from cheap, few enough to follow a change.
+const RECENT: usize = 32;
+/// How far one late launch closes the node: four in a row by half.
+const CLOSING: f64 = 0.15;
 /// Backends probed for a launch: three find an idle one nearly always at two thirds load.
 const ASKED: usize = 3;
 /// Rounds of them for a command while none is found idle: the second finds one of the tenth that is left.
@@ -185,6 +192,8 @@
             margin: 1.6,
             relaunches: 2.0,
             pressure: 0.0,
+            open: 1.0,
+            recent: [(0.0, 0.0); RECENT],
             crowd: 0.0,
             probes: 0.0,
             probe_trip: 0.0,
@@ -224,8 +233,12 @@
         }
         if !command.seen {
             self.meet(now, command);
+            if !self.admitted(command) {
+                return self.give_up(command);
+            }
         }
         if command.out() > 0 {
+            self.overdue(now, command);
             return Say::NotYet;
         }
         if let Some(i) = self.choose(now, command) {
@@ -444,6 +457,34 @@
         }
         // A client's repeat has spent part of its goal time somewhere else.
         command.value = if command.repeat { value * 0.5 } else { value };
+        self.recent[self.order as usize % RECENT] = (command.value, cost.max(1.0));
+        self.open = (self.open + CLOSING * self.accepted()).min(1.0);
+    }
+
+    /// The share of launches that may be late before the node closes.
+    fn accepted(&self) -> f64 {
+        self.terms.tail_miss.map_or(0.1, |m| 1.5 * m)
+    }
+
+    /// Whether a command is of the dearest work that comes, as far as the node is open: drawn among equals,
+    /// so that nodes neither close nor open all together.
+    fn admitted(&mut self, command: &Command) -> bool {
+        let draw = self.unit();
+        let (mut dearer, mut all) = (0.0, 0.0);
+        for &(value, cost) in &self.recent {
+            all += cost;
+            dearer +=
+                if value > command.value { cost } else { f64::from(value == command.value) * draw * cost };
+        }
+        dearer <= self.open * all
+    }
+
+    /// A launch out past its goal time: the fleet is fuller than this node can see.
+    fn overdue(&mut self, now: Moment, command: &mut Command) {
+        command.look_at = Moment(u64::MAX);
+        if now >= self.goal_end(command) {
+            self.open = (self.open * (1.0 - CLOSING)).max(0.02);
+        }
     }
 
     fn goal_end(&self, command: &Command) -> Moment {
@@ -511,7 +552,11 @@
     /// The usual work, or before any answer a guess that is rather too high.
     fn first_cost(&self) -> f64 {
         let goal = self.terms.profiles.iter().map(|p| p.goal_time.micros()).fold(0.0, f64::max);
-        if self.usual_work() > 0.0 { self.usual_work() } else { 0.25 * goal }
+        if self.usual_work() > 0.0 {
+            self.usual_work()
+        } else {
+            0.25 * goal
+        }
     }
 
     /// The usual work of the heaviest profile, for commands whose profile is not known.
@@ -710,7 +755,7 @@
             depth: b.in_flight,
         });
         let backend = b.listed.backend;
-        command.look_at = Moment(u64::MAX);
+        command.look_at = self.goal_end(command).max(now);
         if held {
             self.wake_next();
         }
