Ask before holding as well, and again while a command is held

Cause: a node that thought all backends full (by the mean of late reports) held the command without asking any, and turned it back at the end.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -241,13 +241,14 @@
             self.overdue(now, command);
             return Say::NotYet;
         }
-        if let Some(i) = self.choose(now, command) {
-            if !self.ask_first(now, hand, command, i) {
-                return self.launch(now, command, i);
-            }
+        let chosen = self.choose(now, command);
+        if self.ask_first(now, hand, command, chosen) {
             return Say::NotYet;
         }
-        self.hold(now, hand, command)
+        match chosen {
+            Some(i) => self.launch(now, command, i),
+            None => self.hold(now, hand, command),
+        }
     }
 
     /// What to do after this outcome of a launch.
@@ -763,19 +764,28 @@
         Say::Launch(backend)
     }
 
-    /// Where other nodes send too and probes are allowed, a launch on stale news asks first: some backends
-    /// are probed and the command is held for the trip, a hundredth of its time. True while it is to wait.
-    fn ask_first(&mut self, now: Moment, hand: Hand, command: &mut Command, i: usize) -> bool {
-        let b = &self.backends[i];
-        let idle = self.fresh(now, i) && b.in_flight == 0 && b.others == 0.0;
-        if !self.terms.may_probe || self.terms.nodes < 2 || idle {
+    /// Where other nodes send too and probes are allowed, a launch that is not to an idle backend by fresh news
+    /// asks first: some backends are probed and the command is held for the trip, a hundredth of its time.
+    /// While none has room it asks again and again, later each time. True while it is to wait.
+    fn ask_first(&mut self, now: Moment, hand: Hand, command: &mut Command, chosen: Option<usize>) -> bool {
+        let idle = chosen.is_some_and(|i| {
+            let b = &self.backends[i];
+            self.fresh(now, i) && b.in_flight == 0 && b.others == 0.0
+        });
+        if !self.terms.may_probe || self.terms.nodes < 2 || idle || self.ready.is_empty() {
             return false;
         }
-        if now >= command.asked && command.rounds < ROUNDS && self.probes >= ASKED as f64 {
-            let trip = Span(2500 + (2.0 * self.probe_trip) as u64);
+        let more = command.rounds < ROUNDS || chosen.is_none();
+        if now >= command.asked && more && self.probes >= ASKED as f64 && self.may_launch(now, command) {
+            let trip = 2500 + (2.0 * self.probe_trip) as u64;
+            let trip = Span(trip << command.rounds.saturating_sub(ROUNDS - 1).min(3));
+            if now + trip >= self.goal_end(command) {
+                return false;
+            }
             command.asked = now + trip;
             command.rounds += 1;
-            self.probe_some(now, i);
+            let first = chosen.unwrap_or_else(|| self.met_one());
+            self.probe_some(now, first);
             self.insert(now + trip, hand, command);
         }
         now < command.asked
@@ -836,14 +846,6 @@
         if command.waiting {
             if now < latest && now + wait.scaled(0.5) < latest {
                 command.look_at = latest;
-                if self.terms.may_probe && self.terms.nodes > 1 && self.probes >= ASKED as f64 {
-                    // Own answers are rare among many nodes: what has come free must be asked for.
-                    if !self.ready.is_empty() {
-                        let i = self.met_one();
-                        self.probe_some(now, i);
-                    }
-                    command.look_at = latest.min(now + Span::millis(20));
-                }
                 return Say::NotYet;
             }
             return self.give_up(command);
