--- a/src/decide.rs
+++ b/src/decide.rs
@@ -157,6 +157,8 @@
 const ASKED: usize = 3;
 /// Rounds of them for a command while none is found idle: the second finds one of the tenth that is left.
 const ROUNDS: u8 = 2;
+/// A held command looks round so often, a quarter of a command's usual time.
+const LOOK: Span = Span::millis(20);
 /// News for so long: a tenth of a command's usual time there.
 const FRESH: Span = Span::millis(10);
 
@@ -845,7 +847,8 @@
         let wait = Span(((ahead + 1) as f64 / self.rate(now).max(1e-9)) as u64);
         if command.waiting {
             if now < latest && now + wait.scaled(0.5) < latest {
-                command.look_at = latest;
+                // Own answers are rare among many nodes: what has come free must be looked for.
+                command.look_at = if self.terms.may_probe { latest.min(now + LOOK) } else { latest };
                 return Say::NotYet;
             }
             return self.give_up(command);
