--- a/src/decide.rs
+++ b/src/decide.rs
@@ -461,7 +461,8 @@
         // A client's repeat has spent part of its goal time somewhere else.
         command.value = if command.repeat { value * 0.5 } else { value };
         self.recent[self.order as usize % RECENT] = (command.value, cost.max(1.0));
-        self.open = (self.open + CLOSING * self.accepted()).min(1.0);
+        // Some credit, or single late ones, heavy commands mostly, would turn away work all the time.
+        self.open = (self.open + CLOSING * self.accepted()).min(1.4);
     }
 
     /// The share of launches that may be late before the node closes.
