Learn the usual work over all profiles first, and each profile's own as its answers come

Cause: a profile's usual work started from its first answer and moved by a fiftieth each: right for a node that sees hundreds, but a node among many kept its first heavy one for a minute and turned work back.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -96,6 +96,7 @@
 /// What is learned by profile: the usual work, and how far hints tell it.
 struct Row {
     mean: f64,
+    answers: f64,
     /// Mean and spread of the hints, and how work goes along with them.
     hint: f64,
     spread: f64,
@@ -123,6 +124,9 @@
     met_at: Moment,
     pool: Vec<usize>,
     rows: Vec<Row>,
+    /// The usual work over all profiles.
+    usual: f64,
+    answers: f64,
     quotas: Vec<(f64, Moment)>,
     kind_pace: BTreeMap<KindId, f64>,
     /// Commands held, the next one to go last.
@@ -170,8 +174,11 @@
 
 impl Balancer {
     pub fn new(terms: Terms, seed: u64, now: Moment) -> Balancer {
-        let rows =
-            terms.profiles.iter().map(|_| Row { mean: 0.0, hint: 0.0, spread: 0.0, along: 0.0 }).collect();
+        // Until answers tell, a command is taken to need a quarter of its goal time, rather too much.
+        let goal = terms.profiles.iter().map(|p| p.goal_time.micros()).fold(0.0, f64::max);
+        let usual = 0.25 * goal;
+        let row = |_| Row { mean: usual, answers: 0.0, hint: 0.0, spread: 0.0, along: 0.0 };
+        let rows = terms.profiles.iter().map(row).collect();
         let quotas = terms.customers.iter().map(|_| (0.0, now)).collect();
         let must_ask = terms.must_ask;
         let mut node = Balancer {
@@ -186,6 +193,8 @@
             met_at: now,
             pool: Vec::new(),
             rows,
+            usual,
+            answers: 0.0,
             quotas,
             kind_pace: BTreeMap::new(),
             held: Vec::new(),
@@ -335,7 +344,7 @@
         let kind_pace = self.kind_pace.get(&line.kind).copied().unwrap_or(1.0);
         // Many nodes' parts of a cold backend's budget come to less than a command each: their vessels start
         // filled by a random part of one, so that their first commands do not come all together.
-        let poured = self.first_cost() * self.unit();
+        let poured = self.usual * self.unit();
         let fresh = Backend {
             listed: line,
             rank: self.hash(u64::MAX - u64::from(line.backend.0)),
@@ -553,28 +562,13 @@
         ahead + cost * pace
     }
 
-    /// The usual work, or before any answer a guess that is rather too high.
-    fn first_cost(&self) -> f64 {
-        let goal = self.terms.profiles.iter().map(|p| p.goal_time.micros()).fold(0.0, f64::max);
-        if self.usual_work() > 0.0 {
-            self.usual_work()
-        } else {
-            0.25 * goal
-        }
-    }
-
-    /// The usual work of the heaviest profile, for commands whose profile is not known.
-    fn usual_work(&self) -> f64 {
-        self.rows.iter().map(|r| r.mean).fold(0.0, f64::max)
-    }
-
     fn ahead(&self, now: Moment, b: &Backend) -> f64 {
-        b.pending + b.ghost_left(now).max(self.others(now, b) * self.usual_work())
+        b.pending + b.ghost_left(now).max(self.others(now, b) * self.usual)
     }
 
     /// Commands of others there: by its last report, and the longer ago that was, by what is usual.
     fn others(&self, now: Moment, b: &Backend) -> f64 {
-        let halves = now.since(b.report_at).micros() / (self.usual_work() * b.pace).max(1.0);
+        let halves = now.since(b.report_at).micros() / (self.usual * b.pace);
         self.crowd + (b.others - self.crowd) * (-halves).exp2()
     }
 
@@ -692,7 +686,6 @@
     fn pour(&self, now: Moment, b: &Backend, cost: f64) -> Option<f64> {
         let warmth = self.warmth(now, b.listed.started);
         let rate = 0.4 * self.terms.push_over_multiple * warmth / self.sharers();
-        let cost = if cost > 0.0 { cost } else { self.first_cost() };
         let level = (b.poured - rate * now.since(b.poured_at).micros()).max(0.0) + cost;
         let brim = rate * self.terms.push_over_span.micros();
         (warmth >= 1.0 || level <= brim || level <= cost).then_some(level)
@@ -825,7 +818,7 @@
 
     /// Own launches that end in a microsecond, by what each backend's answers take.
     fn rate(&self, now: Moment) -> f64 {
-        let mean = self.usual_work().max(1.0);
+        let mean = self.usual;
         let up =
             self.ready.iter().take(self.reach).map(|&i| &self.backends[i]).filter(|b| b.bad < 0.3 && !b.down);
         up.map(|b| {
@@ -965,16 +958,20 @@
             b.token = (ghost == 0.0).then_some(now);
         }
         b.answers += 1;
+        // A node among many sees few answers of a profile: a new one starts from the usual work, and each
+        // counts as if four had come before.
         let row = &mut self.rows[usize::from(command.profile.0)];
-        if row.mean == 0.0 {
-            row.mean = took;
+        if row.answers == 0.0 {
+            row.mean = self.usual;
             row.hint = command.hint.map_or(0.0, |h| h.micros());
-            return;
         }
+        row.answers += 1.0;
+        self.answers += 1.0;
         let part = took * launch.cost / launch.ahead.max(1.0);
         // A single heavy command must not make a backend look slow: nothing counts for more than four times.
         let over = part.min(4.0 * row.mean) - row.mean;
-        row.mean += 0.02 * over;
+        row.mean += (1.0 / (row.answers + 4.0)).max(0.02) * over;
+        self.usual += (1.0 / (self.answers + 4.0)).max(0.02) * (part.min(4.0 * self.usual) - self.usual);
         if let Some(hint) = command.hint {
             let off = (hint.micros() - row.hint).min(4.0 * row.hint);
             row.hint += 0.02 * off;
