--- a/src/decide.rs
+++ b/src/decide.rs
@@ -174,9 +174,9 @@
 
 impl Balancer {
     pub fn new(terms: Terms, seed: u64, now: Moment) -> Balancer {
-        // Until answers tell, a command is taken to need a quarter of its goal time, rather too much.
+        // Until an answer tells, a command is taken to need a tenth of its goal time: that is tried anywhere.
         let goal = terms.profiles.iter().map(|p| p.goal_time.micros()).fold(0.0, f64::max);
-        let usual = 0.25 * goal;
+        let usual = 0.1 * goal;
         let row = |_| Row { mean: usual, answers: 0.0, hint: 0.0, spread: 0.0, along: 0.0 };
         let rows = terms.profiles.iter().map(row).collect();
         let quotas = terms.customers.iter().map(|_| (0.0, now)).collect();
@@ -343,8 +343,9 @@
     fn line(&mut self, now: Moment, line: Listed) {
         let kind_pace = self.kind_pace.get(&line.kind).copied().unwrap_or(1.0);
         // Many nodes' parts of a cold backend's budget come to less than a command each: their vessels start
-        // filled by a random part of one, so that their first commands do not come all together.
-        let poured = self.usual * self.unit();
+        // filled by a random part of what is lacking, so that their first commands do not come all together.
+        let brim = self.part(now, line.started) * self.terms.push_over_span.micros();
+        let poured = (self.usual - brim).max(0.0) * self.unit();
         let fresh = Backend {
             listed: line,
             rank: self.hash(u64::MAX - u64::from(line.backend.0)),
@@ -681,14 +682,19 @@
         (f64::from(self.terms.nodes) * part.min(1.0)).max(1.0)
     }
 
+    /// Our part of what a cold backend can take in a microsecond: less than half the budget, for nodes alike.
+    fn part(&self, now: Moment, started: Moment) -> f64 {
+        0.4 * self.terms.push_over_multiple * self.warmth(now, started) / self.sharers()
+    }
+
     /// Our part of what a cold backend can take in the stated span, as a vessel that drains: its level after
     /// this work, or nothing if that would be too much. Half the budget fills it, half drains it.
     fn pour(&self, now: Moment, b: &Backend, cost: f64) -> Option<f64> {
-        let warmth = self.warmth(now, b.listed.started);
-        let rate = 0.4 * self.terms.push_over_multiple * warmth / self.sharers();
+        let rate = self.part(now, b.listed.started);
         let level = (b.poured - rate * now.since(b.poured_at).micros()).max(0.0) + cost;
         let brim = rate * self.terms.push_over_span.micros();
-        (warmth >= 1.0 || level <= brim || level <= cost).then_some(level)
+        let warm = self.warmth(now, b.listed.started) >= 1.0;
+        (warm || level <= brim || level <= cost).then_some(level)
     }
 
     /// Whether a backend gets work: drawn, when in doubt, from the posterior of its chance of success.
@@ -958,20 +964,22 @@
             b.token = (ghost == 0.0).then_some(now);
         }
         b.answers += 1;
-        // A node among many sees few answers of a profile: a new one starts from the usual work, and each
-        // counts as if four had come before.
+        let part = took * launch.cost / launch.ahead.max(1.0);
+        // A single heavy command must not make a backend look slow: nothing counts for more than four times.
+        self.answers += 1.0;
+        let most = if self.answers > 1.0 { 4.0 * self.usual } else { f64::MAX };
+        self.usual += (1.0 / self.answers).max(0.02) * (part.min(most) - self.usual);
+        // A node among many sees few answers of a profile: a new one starts from the usual work, and its
+        // first answers count as if four had come before.
         let row = &mut self.rows[usize::from(command.profile.0)];
-        if row.answers == 0.0 {
+        row.answers += 1.0;
+        if row.answers == 1.0 {
             row.mean = self.usual;
             row.hint = command.hint.map_or(0.0, |h| h.micros());
+            return;
         }
-        row.answers += 1.0;
-        self.answers += 1.0;
-        let part = took * launch.cost / launch.ahead.max(1.0);
-        // A single heavy command must not make a backend look slow: nothing counts for more than four times.
         let over = part.min(4.0 * row.mean) - row.mean;
-        row.mean += (1.0 / (row.answers + 4.0)).max(0.02) * over;
-        self.usual += (1.0 / (self.answers + 4.0)).max(0.02) * (part.min(4.0 * self.usual) - self.usual);
+        row.mean += (1.0 / (row.answers + 3.0)).max(0.02) * over;
         if let Some(hint) = command.hint {
             let off = (hint.micros() - row.hint).min(4.0 * row.hint);
             row.hint += 0.02 * off;
