--- a/src/decide.rs
+++ b/src/decide.rs
@@ -496,11 +496,17 @@
     /// A launch out past its goal time: the fleet is fuller than this node can see.
     fn overdue(&mut self, now: Moment, command: &mut Command) {
         command.look_at = Moment(u64::MAX);
-        if now >= self.goal_end(command) {
-            self.open = (self.open * (1.0 - CLOSING)).max(0.02);
+        // Late though sent to an idle backend, as reports had it: that is the command or the backend.
+        let behind = |l: &Launch| !self.terms.may_probe || l.ahead > 1.5 * l.cost;
+        if now >= self.goal_end(command) && command.launches().any(|l| l.fate == Fate::Out && behind(l)) {
+            self.close();
         }
     }
 
+    fn close(&mut self) {
+        self.open = (self.open * (1.0 - CLOSING)).max(0.02);
+    }
+
     fn goal_end(&self, command: &Command) -> Moment {
         let profile = &self.terms.profiles[usize::from(command.profile.0)];
         (command.arrived + profile.goal_time).min(command.ends)
@@ -851,6 +857,7 @@
                 command.look_at = if self.terms.may_probe { latest.min(now + LOOK) } else { latest };
                 return Say::NotYet;
             }
+            self.close();
             return self.give_up(command);
         }
         if now + wait >= latest {
