--- a/src/decide.rs
+++ b/src/decide.rs
@@ -639,8 +639,7 @@
     fn oldest_token(&self, now: Moment, pool: &[usize]) -> Option<usize> {
         let held = pool.iter().copied().filter(|&i| {
             let b = &self.backends[i];
-            let news = b.token.is_some_and(|at| now.since(at) < TOKEN_EXPIRY && at >= b.report_at);
-            news || b.token.is_some() && b.others == 0.0
+            b.token.is_some_and(|at| now.since(at) < TOKEN_EXPIRY && (at >= b.report_at || b.others == 0.0))
         });
         held.min_by_key(|&i| (self.step(&self.backends[i]), self.backends[i].token))
     }
