Let the mean of answers open and close a node among many, late launches among few

Cause: with no reports a share of two late in a hundred shows too rarely at one node among hundreds; how much of the goal time answers take tells sooner. The weight of either follows how much others do unseen (1 - 2 / nodes, nothing where probes are allowed).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -139,6 +139,8 @@
     pressure: f64,
     /// Of the work that comes, the share let in: the dearest. What came of late, by value and cost.
     open: f64,
+    /// What launches take of their goal time, of late.
+    fill: f64,
     recent: [(f64, f64); RECENT],
     /// Commands of others that backends hold, by the reports of late.
     crowd: f64,
@@ -204,6 +206,7 @@
             relaunches: 2.0,
             pressure: 0.0,
             open: 1.0,
+            fill: 0.0,
             recent: [(0.0, 0.0); RECENT],
             crowd: 0.0,
             probes: 0.0,
@@ -471,8 +474,13 @@
         // A client's repeat has spent part of its goal time somewhere else.
         command.value = if command.repeat { value * 0.5 } else { value };
         self.recent[self.order as usize % RECENT] = (command.value, cost.max(1.0));
-        // Some credit, or single late ones, heavy commands mostly, would turn away work all the time.
-        self.open = (self.open + CLOSING * self.accepted()).min(1.4);
+        // Up to two nodes go by late launches, many by how much of the goal time all of them take. Some credit,
+        // or single heavy commands would turn away work all the time.
+        let unseen = self.unseen();
+        let apart = self.target() - self.fill;
+        let by_mean = unseen * apart * self.open * self.open;
+        let step = CLOSING * (self.accepted() * (1.0 - 0.8 * unseen) + by_mean);
+        self.open = (self.open + step).clamp(0.1, 1.4);
     }
 
     /// The share of launches that may be late before the node closes.
@@ -480,6 +488,11 @@
         self.terms.tail_miss.map_or(0.1, |m| 1.5 * m)
     }
 
+    /// The mean to keep to: that of a third of the accepted late share, as backends differ.
+    fn target(&self) -> f64 {
+        -1.0 / (0.2 * self.accepted()).ln()
+    }
+
     /// Whether a command is of the dearest work that comes, as far as the node is open: drawn among equals,
     /// so that nodes neither close nor open all together.
     fn admitted(&mut self, command: &Command) -> bool {
@@ -496,15 +509,37 @@
     /// A launch out past its goal time: the fleet is fuller than this node can see.
     fn overdue(&mut self, now: Moment, command: &mut Command) {
         command.look_at = Moment(u64::MAX);
-        // Late though sent to an idle backend, as reports had it: that is the command or the backend.
-        let behind = |l: &Launch| !self.terms.may_probe || l.ahead > 1.5 * l.cost;
-        if now >= self.goal_end(command) && command.launches().any(|l| l.fate == Fate::Out && behind(l)) {
-            self.close();
+        let out = command.launches().find(|l| l.fate == Fate::Out).copied();
+        if let Some(launch) = out.filter(|l| now >= self.goal_end(command) && self.behind(l)) {
+            self.heed(&launch, 1.0);
+            self.close(1.0 - self.unseen());
+        }
+    }
+
+    /// Late though sent to an idle backend, as reports had it: that is the command or the backend.
+    fn behind(&self, launch: &Launch) -> bool {
+        !self.terms.may_probe || launch.ahead > 1.5 * launch.cost
+    }
+
+    /// What launches take of their goal time tells how full the fleet is, sooner than the few late ones. It
+    /// spreads about exponentially: a share of them is late when the mean is one over the share's logarithm.
+    fn heed(&mut self, launch: &Launch, part: f64) {
+        if self.behind(launch) {
+            self.fill += 0.3 * (part - self.fill);
+        }
+    }
+
+    /// How much of what happens to backends this node does not do or see: what few nodes do to each other
+    /// shows on the ordinary path.
+    fn unseen(&self) -> f64 {
+        if self.terms.may_probe {
+            return 0.0;
         }
+        1.0 - 2.0 / f64::from(self.terms.nodes.max(2))
     }
 
-    fn close(&mut self) {
-        self.open = (self.open * (1.0 - CLOSING)).max(0.02);
+    fn close(&mut self, part: f64) {
+        self.open = (self.open * (1.0 - CLOSING * part)).max(0.1);
     }
 
     fn goal_end(&self, command: &Command) -> Moment {
@@ -856,7 +891,7 @@
                 command.look_at = if self.terms.may_probe { latest.min(now + LOOK) } else { latest };
                 return Say::NotYet;
             }
-            self.close();
+            self.close(1.0);
             return self.give_up(command);
         }
         if now + wait >= latest {
@@ -959,6 +994,11 @@
         if !finished || before {
             return;
         }
+        let goal = self.terms.profiles[usize::from(command.profile.0)].goal_time.micros();
+        if took < goal {
+            self.heed(launch, took / goal);
+        }
+        let b = &mut self.backends[i];
         b.quiet_since = now;
         b.down = false;
         b.served = true;
