--- a/src/decide.rs
+++ b/src/decide.rs
@@ -478,7 +478,8 @@
         // or single heavy commands would turn away work all the time.
         let unseen = self.unseen();
         let apart = self.target() - self.fill;
-        let by_mean = unseen * apart * self.open * self.open;
+        let by_mean =
+            unseen * apart * self.open * if apart < 0.0 { self.open * self.open } else { self.open };
         let step = CLOSING * (self.accepted() * (1.0 - 0.8 * unseen) + by_mean);
         self.open = (self.open + step).clamp(0.1, 1.4);
     }
