--- a/src/decide.rs
+++ b/src/decide.rs
@@ -478,8 +478,7 @@
         // or single heavy commands would turn away work all the time.
         let unseen = self.unseen();
         let apart = self.target() - self.fill;
-        let by_mean =
-            unseen * apart * self.open * if apart < 0.0 { self.open * self.open } else { self.open };
+        let by_mean = unseen * apart * self.open * self.open;
         let step = CLOSING * (self.accepted() * (1.0 - 0.8 * unseen) + by_mean);
         self.open = (self.open + step).clamp(0.1, 1.4);
     }
@@ -512,7 +511,7 @@
         command.look_at = Moment(u64::MAX);
         let out = command.launches().find(|l| l.fate == Fate::Out).copied();
         if let Some(launch) = out.filter(|l| now >= self.goal_end(command) && self.behind(l)) {
-            self.heed(&launch, 1.0);
+            self.heed(now, &launch, 1.0);
             self.close(1.0 - self.unseen());
         }
     }
@@ -524,9 +523,12 @@
 
     /// What launches take of their goal time tells how full the fleet is, sooner than the few late ones. It
     /// spreads about exponentially: a share of them is late when the mean is one over the share's logarithm.
-    fn heed(&mut self, launch: &Launch, part: f64) {
+    fn heed(&mut self, now: Moment, launch: &Launch, part: f64) {
         if self.behind(launch) {
-            self.fill += 0.3 * (part - self.fill);
+            // A cold backend is slow without being full.
+            let started = self.index.get(&launch.backend).map(|&i| self.backends[i].listed.started);
+            let warmth = started.map_or(1.0, |at| self.warmth(now, at));
+            self.fill += 0.3 * (part * warmth - self.fill);
         }
     }
 
@@ -999,7 +1001,7 @@
         }
         let goal = self.terms.profiles[usize::from(command.profile.0)].goal_time.micros();
         if took < goal {
-            self.heed(launch, took / goal);
+            self.heed(now, launch, took / goal);
         }
         let b = &mut self.backends[i];
         b.quiet_since = now;
