Let a node's part of a customer's quota hold ten commands at least

Cause: with four commands a second a node, a second's worth of quota marks in-share commands as surplus by chance alone. The choice among those asked is said once now.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -461,9 +461,9 @@
         }
         let nodes = f64::from(self.terms.nodes.max(1));
         if let Some((level, at)) = self.quotas.get_mut(command.customer.0 as usize) {
-            // Each node lets through its part of a customer's quota, a second's worth at once.
+            // Each node lets through its part of a customer's quota, a second's worth or ten at once.
             let quota = self.terms.customers[command.customer.0 as usize].quota_per_s / nodes;
-            *level = (*level + quota * now.since(*at).micros() / 1e6).min(quota.max(1.0));
+            *level = (*level + quota * now.since(*at).micros() / 1e6).min(quota.max(10.0));
             *at = now;
             if *level >= 1.0 {
                 *level -= 1.0;
@@ -648,18 +648,18 @@
             if command.asked > Moment(0) && pool.iter().any(|&i| self.fresh(now, i)) {
                 pool.retain(|&i| self.fresh(now, i));
             }
-            let a = pool[(self.chance() % pool.len() as u64) as usize];
-            let b = pool[(self.chance() % pool.len() as u64) as usize];
-            // What a fresh report shows of others counts as our own would.
-            let rank = |i: usize| {
+            // Two at random, or those asked for this command, who were drawn so.
+            if command.asked == Moment(0) {
+                let draws = [self.chance(), self.chance()];
+                let two = draws.map(|draw| pool[draw as usize % pool.len()]);
+                pool.clear();
+                pool.extend(two);
+            }
+            // What a report shows of others counts as our own would.
+            best = pool.iter().copied().min_by_key(|&i| {
                 let b = &self.backends[i];
                 (b.in_flight + self.others(now, b).round() as u32, self.step(b))
-            };
-            best = Some(if rank(b) < rank(a) { b } else { a });
-            if command.asked > Moment(0) {
-                // Those asked for this command were drawn at random: the least busy of them all.
-                best = pool.iter().copied().min_by_key(|&i| rank(i));
-            }
+            });
         }
         self.ready = ready;
         self.pool = pool;
