--- a/src/decide.rs
+++ b/src/decide.rs
@@ -161,8 +161,8 @@
 const CLOSING: f64 = 0.15;
 /// Backends probed for a launch: three find an idle one nearly always at two thirds load.
 const ASKED: usize = 3;
-/// Rounds of them for a command while none is found idle: the second finds one of the tenth that is left.
-const ROUNDS: u8 = 2;
+/// Rounds of them for a command while none is found idle: the third leaves one in thirty at two thirds load.
+const ROUNDS: u8 = 3;
 /// A held command looks round so often, a quarter of a command's usual time.
 const LOOK: Span = Span::millis(20);
 /// News for so long: a tenth of a command's usual time there.
