--- a/src/decide.rs
+++ b/src/decide.rs
@@ -844,22 +844,20 @@
         now.since(b.report_at.max(b.token.unwrap_or(Moment(0)))) <= FRESH
     }
 
-    fn probe(&mut self, now: Moment, i: usize) {
-        self.probes = (self.probes - 1.0).max(0.0);
-        self.backends[i].probe_out = Some(now);
-        self.errands.push(Errand::Probe(self.backends[i].listed.backend));
-    }
-
     fn met_one(&mut self) -> usize {
         let draw = self.chance() as usize;
         self.ready[draw % self.ready.len().min(self.reach)]
     }
 
-    fn probe_some(&mut self, now: Moment, i: usize) {
-        let mut next = i;
-        for _ in 0..ASKED {
-            if self.backends[next].probe_out.is_none() {
-                self.probe(now, next);
+    /// Probes a few of those met, this one first, and none of whom there is news or a probe out already.
+    fn probe_some(&mut self, now: Moment, mut next: usize) {
+        let mut left = ASKED;
+        for _ in 0..4 * ASKED {
+            if left > 0 && self.backends[next].probe_out.is_none() && !self.fresh(now, next) {
+                left -= 1;
+                self.probes = (self.probes - 1.0).max(0.0);
+                self.backends[next].probe_out = Some(now);
+                self.errands.push(Errand::Probe(self.backends[next].listed.backend));
             }
             next = self.met_one();
         }
