--- a/src/decide.rs
+++ b/src/decide.rs
@@ -161,8 +161,9 @@
 const CLOSING: f64 = 0.15;
 /// Backends probed for a launch: three find an idle one nearly always at two thirds load.
 const ASKED: usize = 3;
-/// Rounds of them for a command while none is found idle: the third leaves one in thirty at two thirds load.
-const ROUNDS: u8 = 3;
+/// Rounds of them for a command while none is found idle: the third leaves one in thirty at two thirds load,
+/// and two more come after longer pauses.
+const ROUNDS: u8 = 5;
 /// A held command looks round so often, a quarter of a command's usual time.
 const LOOK: Span = Span::millis(20);
 /// News for so long: a tenth of a command's usual time there.
@@ -825,7 +826,7 @@
         let more = command.rounds < ROUNDS || chosen.is_none();
         if now >= command.asked && more && self.probes >= ASKED as f64 && self.may_launch(now, command) {
             let trip = 2500 + (2.0 * self.probe_trip) as u64;
-            let trip = Span(trip << command.rounds.saturating_sub(ROUNDS - 1).min(3));
+            let trip = Span(trip << command.rounds.saturating_sub(2).min(3));
             if now + trip >= self.goal_end(command) {
                 return false;
             }
