Let a backend never met fade like one met, and test what hundreds of nodes broke

Cause: a node whose first answer is heavy took all backends for hopeless and never learned better: those with fewer than three answers kept their first pace for ever.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -590,8 +590,9 @@
     /// learned fades by half each second after the first without an answer, or a backend once slow is never
     /// tried again.
     fn pace(&self, now: Moment, b: &Backend) -> f64 {
-        if b.answers < 3 {
-            return b.pace / self.warmth(now, b.listed.started);
+        let warmth = self.warmth(now, b.listed.started);
+        if b.answers < 3 && warmth < 1.0 {
+            return b.pace / warmth;
         }
         let idle = if b.in_flight == 0 { now.since(b.quiet_since).micros() / 1e6 } else { 0.0 };
         b.pace * (1.0 - idle).min(0.0).exp2().max(0.1)
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,232 @@
+//! What goes wrong with hundreds of nodes, as tables of cases.
+
+mod help;
+
+use help::{Bench, GOAL};
+use serde_json::json;
+use std::collections::BTreeSet;
+use yarrowfront::command::Outcome::*;
+use yarrowfront::decide::{Errand, ListKind, Say, State};
+use yarrowfront::times::Span;
+
+fn among(nodes: u32, seed: u64) -> Bench {
+    Bench::with(seed, |t| t["balancers"] = nodes.into())
+}
+
+fn asking(nodes: u32, seed: u64) -> Bench {
+    Bench::with(seed, |t| {
+        t["balancers"] = nodes.into();
+        t["limits"]["mayProbe"] = true.into();
+        t["report"] = json!({"how": "pull", "names": ["outstanding", "backlog"]});
+        t["penalties"] = json!({"probe": 0.002});
+    })
+}
+
+fn groups(count: u32, of: u32) -> Vec<(u32, u16)> {
+    (0..count).map(|id| (id + 1, (id / of) as u16)).collect()
+}
+
+/// Photos' i8a22ea: hundreds of nodes that probe all backends on a clock flood them. Probes are bought with
+/// commands, stop at the first idle backend, and none is sent without a command.
+#[test]
+fn probes_are_bought_with_commands() {
+    for (held, least, most) in [(3.0, 800, 1100), (0.0, 200, 700)] {
+        let mut bench = asking(500, 1);
+        assert_eq!(bench.errands().len(), 0);
+        bench.list_groups(&groups(100, 1));
+        let (mut probes, mut launched) = (0, 0);
+        for _ in 0..200 {
+            let mut command = bench.command(0);
+            let mut say = bench.place(&mut command);
+            for _ in 0..60 {
+                for errand in bench.errands() {
+                    if let Errand::Probe(backend) = errand {
+                        probes += 1;
+                        let trip = Some(Span(500));
+                        bench.node.report(bench.now, backend, true, trip, &[held, held]);
+                    }
+                }
+                if say != Say::NotYet {
+                    break;
+                }
+                bench.later(3);
+                say = bench.place(&mut command);
+            }
+            launched += u32::from(matches!(say, Say::Launch(_)));
+            if matches!(say, Say::Launch(_)) {
+                bench.later(30);
+                command.closed = true;
+                bench.after(&mut command, 0, Finished);
+            }
+            bench.later(200);
+        }
+        assert!((least..=most).contains(&probes), "{probes} probes where {held} are held");
+        assert!(held > 0.0 || launched == 200, "an idle fleet takes them all: {launched}");
+        bench.later(10_000);
+        let idle = bench.errands();
+        assert!(!idle.iter().any(|e| matches!(e, Errand::Probe(_))), "{idle:?}");
+    }
+}
+
+/// A node with few commands keeps to few backends, so that it learns them; one with many meets them all.
+#[test]
+fn a_node_meets_what_it_can_learn() {
+    for (nodes, apart, least, most) in [(500, 150, 8, 24), (1, 1, 60, 200)] {
+        let mut bench = among(nodes, 3);
+        bench.list_groups(&groups(200, 1));
+        let mut met = BTreeSet::new();
+        for _ in 0..3000 {
+            let mut command = bench.command(0);
+            bench.later(apart);
+            let Say::Launch(backend) = bench.place(&mut command) else { panic!("an idle fleet takes all") };
+            met.insert(backend);
+            bench.later(20);
+            command.closed = true;
+            bench.after(&mut command, 0, Finished);
+        }
+        assert!((least..=most).contains(&met.len()), "{nodes} nodes: {} met", met.len());
+    }
+}
+
+/// A tagged command that may have run finds its group though the node meets nobody else of it.
+#[test]
+fn a_tagged_command_finds_its_group() {
+    for seed in 0..24 {
+        let mut bench = Bench::with(seed, |t| {
+            t["balancers"] = 500.into();
+            t["profiles"][0]["idempotency"] = "by_key".into();
+            t["profiles"][0]["group"] = "cell".into();
+        });
+        bench.list_groups(&groups(200, 2));
+        let mut command = bench.command(0);
+        let Say::Launch(first) = bench.place(&mut command) else { panic!("nothing sent") };
+        bench.later(10);
+        let Say::Launch(second) = bench.after(&mut command, 0, Errored) else { panic!("seed {seed}") };
+        assert!(first != second && (first.0 - 1) / 2 == (second.0 - 1) / 2, "{first:?}, {second:?}");
+    }
+}
+
+/// Santiago's i5465cd: each of hundreds of nodes has a first command for a backend that has just started.
+/// Its budget here is 2 s of work in its first second.
+#[test]
+fn first_commands_do_not_push_a_cold_backend_over() {
+    let mut sent = 0;
+    for seed in 0..300 {
+        let mut bench = Bench::with(seed, |t| {
+            t["balancers"] = 300.into();
+            t["guarantees"]["startCapacity"] = 0.5.into();
+        });
+        bench.warm_up_costs();
+        let started = bench.now.0 - 1000;
+        bench.line(ListKind::Whole, (7, State::Ready, started));
+        for _ in 0..100 {
+            let mut command = bench.command(0);
+            if matches!(bench.place(&mut command), Say::Launch(_)) {
+                sent += 1;
+                bench.after(&mut command, 0, Full);
+            }
+            bench.later(10);
+        }
+    }
+    assert!((5..=40).contains(&sent), "{sent} commands of 50 ms");
+}
+
+/// A token is good for two seconds, whether or not reports exist.
+#[test]
+fn tokens_expire() {
+    for (after, token) in [(1900, true), (2100, false)] {
+        let mut hits = 0;
+        for seed in 0..40 {
+            let mut bench = Bench::new(seed);
+            bench.list_groups(&groups(10, 1));
+            let mut command = bench.command(0);
+            let Say::Launch(first) = bench.place(&mut command) else { panic!("nothing sent") };
+            bench.later(30);
+            command.closed = true;
+            bench.after(&mut command, 0, Finished);
+            bench.later(after);
+            let mut next = bench.command(0);
+            hits += u32::from(bench.place(&mut next) == Say::Launch(first));
+        }
+        assert_eq!(hits > 25, token, "after {after} ms: {hits} of 40");
+    }
+}
+
+/// A first answer may be a heavy one: the few that follow must tell more, or such a node turns light commands
+/// back for good: backends that it has not tried of late are tried.
+#[test]
+fn one_heavy_answer_does_not_last() {
+    let mut bench = among(500, 1);
+    bench.list_groups(&groups(20, 1));
+    for n in 0..40 {
+        let mut command = bench.command(0);
+        let say = bench.place(&mut command);
+        assert!(n < 15 || matches!(say, Say::Launch(_)), "command {n}: {say:?}");
+        bench.later(if n == 0 { GOAL - 5 } else { 20 });
+        command.closed = true;
+        bench.after(&mut command, 0, Finished);
+        bench.later(100);
+    }
+}
+
+/// Santiago's big days: launches late everywhere close a node by degrees, the cheapest work first, and
+/// answers in time open it again.
+#[test]
+fn a_full_fleet_closes_a_node_to_cheap_work() {
+    let mut bench = Bench::with(2, |t| {
+        t["balancers"] = 500.into();
+        t["profiles"][0]["timeLimit"] = 5_000_000_000u64.into();
+        let mut dear = t["profiles"][0].clone();
+        dear["payoff"] = 8.0.into();
+        t["profiles"].as_array_mut().expect("profiles").push(dear);
+    });
+    bench.list_groups(&groups(200, 1));
+    let run = |bench: &mut Bench, took: u64, times: u32| {
+        let mut launched = [0, 0];
+        for n in 0..times {
+            let profile = usize::from(n % 4 == 0);
+            let mut command = bench.command(profile as u16);
+            if matches!(bench.place(&mut command), Say::Launch(_)) {
+                launched[profile] += 1;
+                bench.later(took.min(GOAL + 1));
+                bench.place(&mut command);
+                bench.later(took.saturating_sub(GOAL + 1));
+                command.closed = true;
+                bench.after(&mut command, 0, Finished);
+            }
+            bench.later(100);
+        }
+        launched
+    };
+    let quiet = run(&mut bench, 20, 200);
+    assert_eq!(quiet, [150, 50]);
+    let late = run(&mut bench, GOAL + 50, 200);
+    assert!(late[0] < 75 && late[1] * 3 > late[0] * 2, "{late:?} of 150 and 50 while all are late");
+    run(&mut bench, 20, 400);
+    let after = run(&mut bench, 20, 100);
+    assert!(after[0] > 70 && after[1] == 25, "{after:?} of 75 and 25 once answers are in time");
+}
+
+/// Perth's big days: a backend that sent a command back full counts as crowded for the next one.
+#[test]
+fn a_full_backend_is_as_good_as_reported() {
+    for (outcome, again) in [(Unsent, true), (Full, false)] {
+        let mut hits = 0;
+        for seed in 0..40 {
+            let mut bench = asking(500, seed);
+            bench.list_groups(&groups(2, 1));
+            let launch = |bench: &mut Bench| loop {
+                let mut command = bench.command(0);
+                for _ in 0..10 {
+                    if let Say::Launch(backend) = bench.place(&mut command) {
+                        bench.after(&mut command, 0, outcome);
+                        return backend;
+                    }
+                    bench.later(4);
+                }
+            };
+            hits += u32::from(launch(&mut bench) == launch(&mut bench));
+        }
+        assert_eq!(hits > 15, again, "{outcome:?}: {hits} of 40 went to the same backend");
+    }
+}
