--- a/src/decide.rs
+++ b/src/decide.rs
@@ -600,7 +600,8 @@
 
     /// Expected time for work there, with all that is ahead of it.
     fn expected(&self, now: Moment, b: &Backend, cost: f64) -> f64 {
-        let pace = self.pace(now, b);
+        // Behind others nothing has faded: only an idle one is worth a try on the chance that it has changed.
+        let pace = self.pace(now, b).max(b.pace);
         let mut ahead = self.ahead(now, b) * pace;
         if b.in_flight > 0 {
             // A silence lasts about as long again as it has lasted.
