--- a/src/decide.rs
+++ b/src/decide.rs
@@ -137,10 +137,11 @@
     /// Relaunches that may still be made.
     relaunches: f64,
     pressure: f64,
-    /// Of the work that comes, the share let in: the dearest. What came of late, by value and cost.
+    /// Of the work that comes, the share let in: the dearest.
     open: f64,
     /// What launches take of their goal time, of late.
     fill: f64,
+    /// What came of late, by value and cost.
     recent: [(f64, f64); RECENT],
     /// Commands of others that backends hold, by the reports of late.
     crowd: f64,
@@ -183,7 +184,6 @@
         let row = |_| Row { mean: usual, answers: 0.0, hint: 0.0, spread: 0.0, along: 0.0 };
         let rows = terms.profiles.iter().map(row).collect();
         let quotas = terms.customers.iter().map(|_| (0.0, now)).collect();
-        let must_ask = terms.must_ask;
         let mut node = Balancer {
             terms,
             seed,
@@ -215,7 +215,7 @@
             follow_at: Moment(u64::MAX),
             failures: 0,
         };
-        if must_ask {
+        if node.terms.must_ask {
             // Nodes that start together must not call together: a spread of a tenth of a second.
             node.follow_at = now + Span::millis(100).scaled(node.unit());
         }
@@ -443,8 +443,8 @@
         command.seen = true;
         self.order += 1;
         command.order = self.order;
-        // A node meets as many backends as it can send to within a token's life: spread over hundreds it would
-        // know none of them, while other nodes meet others.
+        // A node meets as many backends as it can send to within a token's life: spread over hundreds it
+        // would know none of them, while other nodes meet others.
         self.met = 1.0 + self.met * (-now.since(self.met_at).micros() / 4e6).exp2();
         self.met_at = now;
         let rate = self.met * std::f64::consts::LN_2 / 4e6;
@@ -460,10 +460,10 @@
         if !self.terms.payoff_by_work {
             value /= cost.max(1.0);
         }
-        let nodes = f64::from(self.terms.nodes.max(1));
         if let Some((level, at)) = self.quotas.get_mut(command.customer.0 as usize) {
             // Each node lets through its part of a customer's quota, a second's worth or ten at once.
-            let quota = self.terms.customers[command.customer.0 as usize].quota_per_s / nodes;
+            let quota = self.terms.customers[command.customer.0 as usize].quota_per_s
+                / f64::from(self.terms.nodes.max(1));
             *level = (*level + quota * now.since(*at).micros() / 1e6).min(quota.max(10.0));
             *at = now;
             if *level >= 1.0 {
@@ -475,8 +475,8 @@
         // A client's repeat has spent part of its goal time somewhere else.
         command.value = if command.repeat { value * 0.5 } else { value };
         self.recent[self.order as usize % RECENT] = (command.value, cost.max(1.0));
-        // Up to two nodes go by late launches, many by how much of the goal time all of them take. Some credit,
-        // or single heavy commands would turn away work all the time.
+        // Two nodes go by late launches, many by how much of the goal time all of them take. Some credit, or
+        // single heavy commands would turn away work all the time.
         let unseen = self.unseen();
         let apart = self.target() - self.fill;
         let by_mean = unseen * apart * self.open * self.open;
@@ -510,8 +510,8 @@
     /// A launch out past its goal time: the fleet is fuller than this node can see.
     fn overdue(&mut self, now: Moment, command: &mut Command) {
         command.look_at = Moment(u64::MAX);
-        let out = command.launches().find(|l| l.fate == Fate::Out).copied();
-        if let Some(launch) = out.filter(|l| now >= self.goal_end(command) && self.behind(l)) {
+        let late = |l: &&Launch| l.fate == Fate::Out && now >= self.goal_end(command) && self.behind(l);
+        if let Some(&launch) = command.launches().find(late) {
             self.heed(now, &launch, 1.0);
             self.close(1.0 - self.unseen());
         }
@@ -528,18 +528,15 @@
         if self.behind(launch) {
             // A cold backend is slow without being full.
             let started = self.index.get(&launch.backend).map(|&i| self.backends[i].listed.started);
-            let warmth = started.map_or(1.0, |at| self.warmth(now, at));
-            self.fill += 0.3 * (part * warmth - self.fill);
+            self.fill += 0.3 * (part * started.map_or(1.0, |at| self.warmth(now, at)) - self.fill);
         }
     }
 
     /// How much of what happens to backends this node does not do or see: what few nodes do to each other
     /// shows on the ordinary path.
     fn unseen(&self) -> f64 {
-        if self.terms.may_probe {
-            return 0.0;
-        }
-        1.0 - 2.0 / f64::from(self.terms.nodes.max(2))
+        let nodes = if self.terms.may_probe { 2 } else { self.terms.nodes.max(2) };
+        1.0 - 2.0 / f64::from(nodes)
     }
 
     fn close(&mut self, part: f64) {
@@ -805,17 +802,16 @@
             ahead: ahead + cost,
             depth: b.in_flight,
         });
-        let backend = b.listed.backend;
         command.look_at = self.goal_end(command).max(now);
         if held {
             self.wake_next();
         }
         self.pressure *= 0.98;
-        Say::Launch(backend)
+        Say::Launch(self.backends[i].listed.backend)
     }
 
-    /// Where other nodes send too and probes are allowed, a launch that is not to an idle backend by fresh news
-    /// asks first: some backends are probed and the command is held for the trip, a hundredth of its time.
+    /// Where other nodes send too and probes are allowed, a launch that is not to an idle backend by fresh
+    /// news asks first: some are probed and the command is held for the trip, a hundredth of its time.
     /// While none has room it asks again and again, later each time. True while it is to wait.
     fn ask_first(&mut self, now: Moment, hand: Hand, command: &mut Command, chosen: Option<usize>) -> bool {
         let idle = chosen.is_some_and(|i| {
@@ -870,25 +866,18 @@
 
     /// Own launches that end in a microsecond, by what each backend's answers take.
     fn rate(&self, now: Moment) -> f64 {
-        let mean = self.usual;
-        let up =
-            self.ready.iter().take(self.reach).map(|&i| &self.backends[i]).filter(|b| b.bad < 0.3 && !b.down);
-        up.map(|b| {
-            let others = self.ahead(now, b) - b.pending;
-            b.cap.floor() / (b.pace * (mean + others))
-        })
-        .sum()
+        let met = self.ready.iter().take(self.reach).map(|&i| &self.backends[i]);
+        let each = |b: &Backend| b.cap.floor() / (b.pace * (self.usual + self.ahead(now, b) - b.pending));
+        met.filter(|b| b.bad < 0.3 && !b.down).map(each).sum()
     }
 
     fn hold(&mut self, now: Moment, hand: Hand, command: &mut Command) -> Say {
         if !self.may_launch(now, command) {
             return self.give_up(command);
         }
-        let at = self.standing(command);
-        let ahead = self.held.len() - at;
-        let cost = self.cost(command);
+        let ahead = self.held.len() - self.standing(command);
         // A held command starts with nothing ahead of it: it needs less than one sent to stand behind others.
-        let need = Span((cost * self.margin.sqrt()) as u64);
+        let need = Span((self.cost(command) * self.margin.sqrt()) as u64);
         let latest = (self.goal_end(command) - need).min(self.bounds(command).until);
         let wait = Span(((ahead + 1) as f64 / self.rate(now).max(1e-9)) as u64);
         if command.waiting {
