Leave reports aside while launches belie them

A node now counts how often that happens to it and goes by its own answers while it is over a third.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -145,6 +145,8 @@
     recent: [(f64, f64); RECENT],
     /// Commands of others that backends hold, by the reports of late.
     crowd: f64,
+    /// How often backends that were idle, as reports had it, came late or full.
+    belied: f64,
     probes: f64,
     probe_trip: f64,
     follow_at: Moment,
@@ -210,6 +212,7 @@
             fill: 0.0,
             recent: [(0.0, 0.0); RECENT],
             crowd: 0.0,
+            belied: 0.0,
             probes: 0.0,
             probe_trip: 0.0,
             follow_at: Moment(u64::MAX),
@@ -417,7 +420,7 @@
         self.crowd += 0.05 * (b.others - self.crowd);
         if held == 0.0 && b.in_flight == 0 {
             b.ghost = 0.0;
-            if b.served && b.listed.state == State::Ready {
+            if b.served && b.listed.state == State::Ready && self.belied < 0.35 {
                 b.token = Some(now);
             }
             self.wake_next();
@@ -517,9 +520,15 @@
         }
     }
 
+    /// Whether reports show what others do. They can stand still or lie: then a node goes by its own answers
+    /// until those are in time again.
+    fn sighted(&self) -> bool {
+        self.terms.may_probe && self.belied < 0.35
+    }
+
     /// Late though sent to an idle backend, as reports had it: that is the command or the backend.
     fn behind(&self, launch: &Launch) -> bool {
-        !self.terms.may_probe || launch.ahead > 1.5 * launch.cost
+        !self.sighted() || launch.ahead > 1.5 * launch.cost
     }
 
     /// What launches take of their goal time tells how full the fleet is, sooner than the few late ones. It
@@ -535,7 +544,7 @@
     /// How much of what happens to backends this node does not do or see: what few nodes do to each other
     /// shows on the ordinary path.
     fn unseen(&self) -> f64 {
-        let nodes = if self.terms.may_probe { 2 } else { self.terms.nodes.max(2) };
+        let nodes = if self.sighted() { 2 } else { self.terms.nodes.max(2) };
         1.0 - 2.0 / f64::from(nodes)
     }
 
@@ -613,6 +622,9 @@
 
     /// Commands of others there: by its last report, and the longer ago that was, by what is usual.
     fn others(&self, now: Moment, b: &Backend) -> f64 {
+        if !self.sighted() {
+            return 0.0;
+        }
         let halves = now.since(b.report_at).micros() / (self.usual * b.pace);
         self.crowd + (b.others - self.crowd) * (-halves).exp2()
     }
@@ -818,7 +830,7 @@
             let b = &self.backends[i];
             self.fresh(now, i) && b.in_flight == 0 && b.others == 0.0
         });
-        if !self.terms.may_probe || self.terms.nodes < 2 || idle || self.ready.is_empty() {
+        if !self.sighted() || self.terms.nodes < 2 || idle || self.ready.is_empty() {
             return false;
         }
         let more = command.rounds < ROUNDS || chosen.is_none();
@@ -957,6 +969,11 @@
             // A connection that has lost its way swallows whatever is sent on it next: a new one is cheap.
             self.errands.push(Errand::Close(launch.backend));
         }
+        let goal = self.terms.profiles[usize::from(command.profile.0)].goal_time.micros();
+        if launch.ahead <= 1.5 * launch.cost && outcome != Outcome::Cancelled {
+            let belied = took > goal || outcome == Outcome::Full;
+            self.belied += 0.1 * (f64::from(belied) - self.belied);
+        }
         let b = &self.backends[i];
         // A time-out tells of the backend only if it was silent throughout, and for long: some clients
         // give up within a usual answer's time, and a heavy command takes long anywhere.
@@ -989,7 +1006,6 @@
         if !finished || before {
             return;
         }
-        let goal = self.terms.profiles[usize::from(command.profile.0)].goal_time.micros();
         if took < goal {
             self.heed(now, launch, took / goal);
         }
