--- a/src/decide.rs
+++ b/src/decide.rs
@@ -164,8 +164,7 @@
 const CLOSING: f64 = 0.15;
 /// Backends probed for a launch: three find an idle one nearly always at two thirds load.
 const ASKED: usize = 3;
-/// Rounds of them for a command while none is found idle: the third leaves one in thirty at two thirds load,
-/// and two more come after longer pauses.
+/// Rounds of them while none is found idle: at two thirds load the third leaves one in thirty.
 const ROUNDS: u8 = 5;
 /// A held command looks round so often, a quarter of a command's usual time.
 const LOOK: Span = Span::millis(20);
@@ -242,8 +241,6 @@
         (self.chance() >> 11) as f64 / (1u64 << 53) as f64
     }
 
-    // ---- the three calls ----
-
     /// Where to send this command: a backend, not yet, or never. Also asked when its `wait` is over.
     pub fn place(&mut self, now: Moment, hand: Hand, command: &mut Command) -> Say {
         if command.closed {
@@ -270,15 +267,8 @@
     }
 
     /// What to do after this outcome of a launch.
-    pub fn after(
-        &mut self,
-        now: Moment,
-        hand: Hand,
-        command: &mut Command,
-        number: u8,
-        outcome: Outcome,
-    ) -> Say {
-        let Some(launch) = command.launch(number).filter(|l| l.fate == Fate::Out) else {
+    pub fn after(&mut self, now: Moment, hand: Hand, command: &mut Command, n: u8, outcome: Outcome) -> Say {
+        let Some(launch) = command.launch(n).filter(|l| l.fate == Fate::Out) else {
             return Say::NotYet;
         };
         launch.fate = if outcome.proves_not_run() { Fate::NotRun } else { Fate::MayHaveRun };
@@ -305,8 +295,6 @@
         (at < Moment(u64::MAX)).then(|| at.since(now))
     }
 
-    // ---- facts told ----
-
     /// The client has gone: nothing more is owed.
     pub fn dropped(&mut self, command: &mut Command) {
         self.unhold(command);
@@ -392,15 +380,9 @@
     }
 
     /// A load report, or a probe that found nobody.
-    pub fn report(
-        &mut self,
-        now: Moment,
-        backend: BackendId,
-        found: bool,
-        trip: Option<Span>,
-        values: &[f32],
-    ) {
-        let Some(&i) = self.index.get(&backend) else { return };
+    pub fn report(&mut self, now: Moment, at: BackendId, found: bool, trip: Option<Span>, values: &[f32]) {
+        let Some(&i) = self.index.get(&at) else { return };
+        let sighted = self.sighted();
         let b = &mut self.backends[i];
         if let Some(trip) = trip {
             b.probe_out = None;
@@ -420,7 +402,7 @@
         self.crowd += 0.05 * (b.others - self.crowd);
         if held == 0.0 && b.in_flight == 0 {
             b.ghost = 0.0;
-            if b.served && b.listed.state == State::Ready && self.belied < 0.35 {
+            if b.served && b.listed.state == State::Ready && sighted {
                 b.token = Some(now);
             }
             self.wake_next();
@@ -440,8 +422,6 @@
         None
     }
 
-    // ---- the ordinary path ----
-
     fn meet(&mut self, now: Moment, command: &mut Command) {
         command.seen = true;
         self.order += 1;
@@ -775,8 +755,8 @@
     }
 
     fn weigh(&mut self, now: Moment, i: usize, good: f64, bad: f64) {
-        // Evidence halves in three seconds; no more than eight of either is kept.
-        // Where many meet it, each tries it again the later: together as often as three.
+        // Evidence halves in three seconds, and no more than eight of either is kept. Where many nodes meet a
+        // backend, each tries it again the later: together as often as three.
         let half = 3e6 * (self.sharers() / 3.0).clamp(1.0, 10.0);
         let b = &mut self.backends[i];
         if b.bad > 0.0 {
@@ -874,8 +854,6 @@
         }
     }
 
-    // ---- holding and giving up ----
-
     /// Own launches that end in a microsecond, by what each backend's answers take.
     fn rate(&self, now: Moment) -> f64 {
         let met = self.ready.iter().take(self.reach).map(|&i| &self.backends[i]);
@@ -960,8 +938,6 @@
         Say::TurnBack(self.terms.longest_come_back.scaled((0.1 + 2.0 * self.pressure).min(1.0) * spread))
     }
 
-    // ---- learning ----
-
     fn learn(&mut self, now: Moment, command: &Command, launch: &Launch, outcome: Outcome) {
         let Some(&i) = self.index.get(&launch.backend) else { return };
         let took = now.since(launch.sent).micros();
