--- a/src/decide.rs
+++ b/src/decide.rs
@@ -217,6 +217,7 @@
             follow_at: Moment(u64::MAX),
             failures: 0,
         };
+        node.fill = node.target();
         if node.terms.must_ask {
             // Nodes that start together must not call together: a spread of a tenth of a second.
             node.follow_at = now + Span::millis(100).scaled(node.unit());
