Meet half as many backends, eight at the least and twelve where probes are allowed

Cause: a node that meets fewer learns a slowed or crowded one sooner, which the incidents of crowded fleets show most.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -156,8 +156,9 @@
 /// The proposal's expiry and exploring share.
 const TOKEN_EXPIRY: Span = Span::millis(2000);
 const EXPLORE: f64 = 0.1;
-/// Backends met at the least: with a dozen, a third failing at once still leaves a choice.
-const FEWEST: usize = 12;
+/// Backends met at the least: a third failing at once still leaves a choice. Half as many again where probes
+/// find the idle one among them; more lost there, and half as many lost fleets without reports.
+const FEWEST: usize = 8;
 /// Enough commands to tell dear from cheap, few enough to follow a change.
 const RECENT: usize = 32;
 /// How far one late launch closes the node: four in a row by half.
@@ -427,12 +428,13 @@
         command.seen = true;
         self.order += 1;
         command.order = self.order;
-        // A node meets as many backends as it can send to within a token's life: spread over hundreds it
+        // A node meets as many backends as it can send to in half a token's life: spread over hundreds it
         // would know none of them, while other nodes meet others.
         self.met = 1.0 + self.met * (-now.since(self.met_at).micros() / 4e6).exp2();
         self.met_at = now;
         let rate = self.met * std::f64::consts::LN_2 / 4e6;
-        self.reach = FEWEST.max((rate * TOKEN_EXPIRY.micros()) as usize);
+        let fewest = if self.sighted() { FEWEST * 3 / 2 } else { FEWEST };
+        self.reach = fewest.max((0.5 * rate * TOKEN_EXPIRY.micros()) as usize);
         // Half the commands may be launched again, with a small store for a sudden loss: a tenth ran dry when
         // a zone was lost, and only a bound is meant, lest relaunches outnumber what comes in.
         self.relaunches = (self.relaunches + 0.5).min(50.0);
