--- a/src/decide.rs
+++ b/src/decide.rs
@@ -617,7 +617,9 @@
             return None;
         }
         let first = command.launched() == 0;
-        let explore = self.unit() < EXPLORE;
+        // What cannot be sent again is no means to try the unknown.
+        let effect = self.terms.profiles[usize::from(command.profile.0)].effect;
+        let explore = self.unit() < EXPLORE && effect != Effect::OnceOnly;
         let ready = std::mem::take(&mut self.ready);
         let mut pool = std::mem::take(&mut self.pool);
         pool.clear();
