--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -157,6 +157,25 @@
     }
 }
 
+/// Santiago's big days: what cannot be sent again is no means to try the unknown.
+#[test]
+fn once_only_commands_do_not_explore() {
+    for (effect, strays) in [("repeatable", true), ("once", false)] {
+        let mut bench = Bench::with(7, |t| t["profiles"][0]["idempotency"] = effect.into());
+        bench.list_groups(&[(1, 1), (2, 1), (3, 1), (4, 1), (5, 1), (6, 1)]);
+        let mut went = Vec::new();
+        for _ in 0..100 {
+            let mut command = bench.command(0);
+            let Say::Launch(backend) = bench.place(&mut command) else { panic!("nothing sent: {effect}") };
+            went.push(backend);
+            bench.later(30);
+            command.closed = true;
+            bench.after(&mut command, 0, Finished);
+        }
+        assert_eq!(went.iter().any(|b| *b != went[0]), strays, "{effect}: {went:?}");
+    }
+}
+
 /// A backend that answers every launch with an error at once has few in flight; it must not draw work.
 #[test]
 fn fast_errors_are_left_to_a_trickle() {
