--- a/src/decide.rs
+++ b/src/decide.rs
@@ -9,7 +9,7 @@
 
 use crate::command::{Command, Fate, Launch, Outcome, MOST_LAUNCHES};
 use crate::ids::{BackendId, GroupId, Hand, KindId, ZoneId};
-use crate::terms::{Among, Effect, Terms};
+use crate::terms::{Among, Effect, Profile, Terms};
 use crate::times::{Moment, Span};
 use std::cmp::Reverse;
 use std::collections::hash_map::DefaultHasher;
@@ -441,8 +441,7 @@
         // Probes are bought for at most a hundredth of a command each.
         self.probes = (self.probes + (0.01 / self.terms.probe_price.max(1e-4)).min(5.0)).min(40.0);
         let cost = self.cost(command);
-        let profile = &self.terms.profiles[usize::from(command.profile.0)];
-        let mut value = profile.payoff;
+        let mut value = self.profile(command).payoff;
         if !self.terms.payoff_by_work {
             value /= cost.max(1.0);
         }
@@ -511,7 +510,7 @@
 
     /// Late though sent to an idle backend, as reports had it: that is the command or the backend.
     fn behind(&self, launch: &Launch) -> bool {
-        !self.sighted() || launch.ahead > 1.5 * launch.cost
+        !self.sighted() || !alone(launch)
     }
 
     /// What launches take of their goal time tells how full the fleet is, sooner than the few late ones. It
@@ -535,8 +534,12 @@
         self.open = (self.open * (1.0 - CLOSING * part)).max(0.1);
     }
 
+    fn profile(&self, command: &Command) -> &Profile {
+        &self.terms.profiles[usize::from(command.profile.0)]
+    }
+
     fn goal_end(&self, command: &Command) -> Moment {
-        let profile = &self.terms.profiles[usize::from(command.profile.0)];
+        let profile = self.profile(command);
         (command.arrived + profile.goal_time).min(command.ends)
     }
 
@@ -551,7 +554,7 @@
 
     /// Where this command may still go: everywhere, or for a tagged one that may have run, where and until.
     fn bounds(&self, command: &Command) -> Bounds {
-        let profile = &self.terms.profiles[usize::from(command.profile.0)];
+        let profile = self.profile(command);
         let mut bounds =
             Bounds { launch: true, turn_back: true, until: Moment(u64::MAX), zone: None, group: None };
         let Some(ran) = command.launches().find(|l| l.fate != Fate::NotRun) else { return bounds };
@@ -618,14 +621,13 @@
         }
         let first = command.launched() == 0;
         // What cannot be sent again is no means to try the unknown.
-        let effect = self.terms.profiles[usize::from(command.profile.0)].effect;
-        let explore = self.unit() < EXPLORE && effect != Effect::OnceOnly;
+        let explore = self.unit() < EXPLORE && self.profile(command).effect != Effect::OnceOnly;
         let ready = std::mem::take(&mut self.ready);
         let mut pool = std::mem::take(&mut self.pool);
         pool.clear();
         let mut hopeful = false;
         // A tagged command that may have run is bound to a group that this node may never meet otherwise.
-        let reach = if command.launched() == 0 { self.reach.min(ready.len()) } else { ready.len() };
+        let reach = if first { self.reach.min(ready.len()) } else { ready.len() };
         for &i in &ready[..reach] {
             let willing = self.willing(now, i, command);
             hopeful |= willing;
@@ -694,15 +696,16 @@
         }
         let cost = self.cost(command);
         let left = self.goal_end(command).since(now).micros();
-        let expected = self.expected(now, b, cost);
         // With nothing ahead there is no better place for it: only a backend late as a rule is left out.
-        let mean = self.rows[usize::from(command.profile.0)].mean;
-        let pace = self.pace(now, b);
         let idle = b.in_flight == 0 && b.ghost_left(now) == 0.0 && self.others(now, b) < 0.5;
         // With many nodes an own count of zero is no sign of idleness: most of the margin then, from two on.
         // (Half of it scored alike on small fleets; on large ones none of it let the nodes bury a fleet.)
-        let doubt = self.margin.powf(0.7 - 1.4 / f64::from(self.terms.nodes.max(2)));
-        let fits = if idle { mean * pace * doubt <= left } else { expected * self.margin <= left };
+        let fits = if idle {
+            let doubt = self.margin.powf(0.7 - 1.4 / f64::from(self.terms.nodes.max(2)));
+            self.rows[usize::from(command.profile.0)].mean * self.pace(now, b) * doubt <= left
+        } else {
+            self.expected(now, b, cost) * self.margin <= left
+        };
         fits && self.pour(now, b, cost).is_some()
     }
 
@@ -749,8 +752,7 @@
         if b.bad < 0.3 {
             return true;
         }
-        let effect = self.terms.profiles[usize::from(command.profile.0)].effect;
-        if effect == Effect::OnceOnly {
+        if self.profile(command).effect == Effect::OnceOnly {
             return false;
         }
         // The chance drawn must be 0.8: it is above x if fewer than `a` of `a + b - 1` draws fall under x.
@@ -762,13 +764,14 @@
     fn weigh(&mut self, now: Moment, i: usize, good: f64, bad: f64) {
         // Evidence halves in three seconds, and no more than eight of either is kept. Where many nodes meet a
         // backend, each tries it again the later: together as often as three.
-        let half = 3e6 * (self.sharers() / 3.0).clamp(1.0, 10.0);
-        let b = &mut self.backends[i];
-        if b.bad > 0.0 {
+        if self.backends[i].bad > 0.0 {
+            let half = 3e6 * (self.sharers() / 3.0).clamp(1.0, 10.0);
+            let b = &mut self.backends[i];
             let fade = (-now.since(b.weighed_at).micros() / half).exp2();
             b.good *= fade;
             b.bad *= fade;
         }
+        let b = &mut self.backends[i];
         b.weighed_at = now;
         b.good = (b.good + good).min(8.0);
         b.bad = (b.bad + bad).min(8.0);
@@ -950,8 +953,8 @@
             // A connection that has lost its way swallows whatever is sent on it next: a new one is cheap.
             self.errands.push(Errand::Close(launch.backend));
         }
-        let goal = self.terms.profiles[usize::from(command.profile.0)].goal_time.micros();
-        if launch.ahead <= 1.5 * launch.cost && outcome != Outcome::Cancelled {
+        let goal = self.profile(command).goal_time.micros();
+        if alone(launch) && outcome != Outcome::Cancelled {
             let belied = took > goal || outcome == Outcome::Full;
             self.belied += 0.1 * (f64::from(belied) - self.belied);
         }
@@ -973,8 +976,7 @@
         b.pending = if b.in_flight == 0 { 0.0 } else { (b.pending - launch.cost).max(0.0) };
         if outcome == Outcome::Full && self.terms.may_probe {
             // As good as a report: there is more than it can do in time.
-            b.others = self.terms.profiles[usize::from(command.profile.0)].goal_time.micros()
-                / self.rows[usize::from(command.profile.0)].mean.max(1.0);
+            b.others = goal / self.rows[usize::from(command.profile.0)].mean.max(1.0);
             b.report_at = now;
         }
         if matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) && !before {
@@ -998,8 +1000,7 @@
             b.ghost = 0.0;
         }
         if b.in_flight == 0 && b.listed.state == State::Ready {
-            let ghost = b.ghost_left(now);
-            b.token = (ghost == 0.0).then_some(now);
+            b.token = (b.ghost_left(now) == 0.0).then_some(now);
         }
         b.answers += 1;
         let part = took * launch.cost / launch.ahead.max(1.0);
@@ -1051,6 +1052,11 @@
     }
 }
 
+/// Whether nobody else was there, as far as was known when it was sent.
+fn alone(launch: &Launch) -> bool {
+    launch.ahead <= 1.5 * launch.cost
+}
+
 struct Bounds {
     launch: bool,
     turn_back: bool,
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -168,9 +168,7 @@
             let mut command = bench.command(0);
             let Say::Launch(backend) = bench.place(&mut command) else { panic!("nothing sent: {effect}") };
             went.push(backend);
-            bench.later(30);
-            command.closed = true;
-            bench.after(&mut command, 0, Finished);
+            bench.finish(&mut command, 30);
         }
         assert_eq!(went.iter().any(|b| *b != went[0]), strays, "{effect}: {went:?}");
     }
@@ -197,9 +195,7 @@
     for _ in 0..2000 {
         let mut command = bench.command(0);
         let Say::Launch(backend) = bench.place(&mut command) else { continue };
-        bench.later(10);
-        command.closed = true;
-        bench.after(&mut command, 0, Finished);
+        bench.finish(&mut command, 10);
         found += u32::from(backend.0 == 4);
     }
     assert!(found > 100, "{found} of 2000");
@@ -234,9 +230,7 @@
         let mut command = bench.command(0);
         command.hint = Some(Span::millis(10 + 400 * (n % 2)));
         assert!(matches!(bench.place(&mut command), Say::Launch(_)), "command {n}");
-        bench.later(30);
-        command.closed = true;
-        bench.after(&mut command, 0, Finished);
+        bench.finish(&mut command, 30);
     }
 }
 
@@ -252,9 +246,7 @@
             assert!(n > 0 || matches!(say, Say::Launch(_)), "what nobody knows yet is tried");
             assert!(n < 5 || matches!(say, Say::Launch(_)) == sends, "{nodes} nodes: {say:?}");
             if matches!(say, Say::Launch(_)) {
-                bench.later(GOAL - 15);
-                command.closed = true;
-                bench.after(&mut command, 0, Finished);
+                bench.finish(&mut command, GOAL - 15);
             }
         }
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -54,9 +54,7 @@
             }
             launched += u32::from(matches!(say, Say::Launch(_)));
             if matches!(say, Say::Launch(_)) {
-                bench.later(30);
-                command.closed = true;
-                bench.after(&mut command, 0, Finished);
+                bench.finish(&mut command, 30);
             }
             bench.later(200);
         }
@@ -80,9 +78,7 @@
             bench.later(apart);
             let Say::Launch(backend) = bench.place(&mut command) else { panic!("an idle fleet takes all") };
             met.insert(backend);
-            bench.later(took);
-            command.closed = true;
-            bench.after(&mut command, 0, Finished);
+            bench.finish(&mut command, took);
         }
         assert!((least..=most).contains(&met.len()), "{nodes} nodes: {} met", met.len());
     }
@@ -141,9 +137,7 @@
             bench.list_groups(&groups(10, 1));
             let mut command = bench.command(0);
             let Say::Launch(first) = bench.place(&mut command) else { panic!("nothing sent") };
-            bench.later(30);
-            command.closed = true;
-            bench.after(&mut command, 0, Finished);
+            bench.finish(&mut command, 30);
             bench.later(after);
             let mut next = bench.command(0);
             hits += u32::from(bench.place(&mut next) == Say::Launch(first));
@@ -162,9 +156,7 @@
         let mut command = bench.command(0);
         let say = bench.place(&mut command);
         assert!(n < 15 || matches!(say, Say::Launch(_)), "command {n}: {say:?}");
-        bench.later(if n == 0 { GOAL - 5 } else { 20 });
-        command.closed = true;
-        bench.after(&mut command, 0, Finished);
+        bench.finish(&mut command, if n == 0 { GOAL - 5 } else { 20 });
         bench.later(100);
     }
 }
@@ -190,9 +182,7 @@
                 launched[profile] += 1;
                 bench.later(took.min(GOAL + 1));
                 bench.place(&mut command);
-                bench.later(took.saturating_sub(GOAL + 1));
-                command.closed = true;
-                bench.after(&mut command, 0, Finished);
+                bench.finish(&mut command, took.saturating_sub(GOAL + 1));
             }
             bench.later(100);
         }
@@ -249,9 +239,7 @@
                     bench.node.report(bench.now, backend, true, Some(Span(500)), &[0.0, 0.0]);
                 }
                 if matches!(say, Say::Launch(_)) {
-                    bench.later(took);
-                    command.closed = true;
-                    bench.after(&mut command, 0, Finished);
+                    bench.finish(&mut command, took);
                 }
                 bench.later(3);
             }
--- a/tests/help/mod.rs
+++ b/tests/help/mod.rs
@@ -68,6 +68,13 @@
         self.node.after(self.now, Hand(command.id.0), command, launch, outcome)
     }
 
+    /// The command's first launch is answered after so long.
+    pub fn finish(&mut self, command: &mut Command, millis: u64) {
+        self.later(millis);
+        command.closed = true;
+        self.after(command, 0, Outcome::Finished);
+    }
+
     pub fn errands(&mut self) -> Vec<Errand> {
         std::iter::from_fn(|| self.node.errand(self.now)).collect()
     }
@@ -78,9 +85,7 @@
         for _ in 0..20 {
             let mut command = self.command(0);
             assert!(matches!(self.place(&mut command), Say::Launch(_)));
-            self.later(50);
-            command.closed = true;
-            self.after(&mut command, 0, Outcome::Finished);
+            self.finish(&mut command, 50);
         }
     }
 }
