--- /dev/null
+++ b/crates/node/src/accept.rs
@@ -0,0 +1,130 @@
+//! Connections from clients: accepted, counted, and closed when there is no more room or the node stops.
+
+use crate::intake::{Intake, Node};
+use crate::log::note;
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use hyper_util::service::TowerToHyperService;
+use slab::Slab;
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout, Instant};
+
+/// A connection from a client.
+pub struct Guest {
+    /// It came when there was no room: it is told so and closed.
+    pub surplus: bool,
+    commands: Cell<usize>,
+    idle_since: Cell<Instant>,
+    close: Notify,
+}
+
+pub struct Busy<'a>(&'a Guest);
+
+impl Guest {
+    fn new(surplus: bool) -> Guest {
+        let idle_since = Cell::new(Instant::now());
+        Guest { surplus, commands: Cell::new(0), idle_since, close: Notify::new() }
+    }
+
+    /// A command is on it for as long as this lives.
+    pub fn busy(&self) -> Busy<'_> {
+        self.commands.set(self.commands.get() + 1);
+        Busy(self)
+    }
+}
+
+impl Drop for Busy<'_> {
+    fn drop(&mut self) {
+        self.0.commands.set(self.0.commands.get() - 1);
+        self.0.idle_since.set(Instant::now());
+    }
+}
+
+type Guests = RefCell<Slab<Rc<Guest>>>;
+
+pub fn bind(address: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    // A node that starts again finds its own old connections still winding down.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(backlog)
+}
+
+/// Accepts until the node stops and all that was taken is answered.
+pub async fn accept(listener: TcpListener, node: Rc<Node>) {
+    let guests = Rc::new(Guests::default());
+    let mut over = pin!(node.stop.accepted());
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut over => break,
+        };
+        match accepted {
+            Ok((stream, _)) => welcome(stream, &guests, &node),
+            Err(error) => {
+                note!("accept: {error}");
+                sleep(Duration::from_millis(5)).await;
+            }
+        }
+    }
+    // What the kernel holds has been accepted as far as its client can tell.
+    while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+        welcome(stream, &guests, &node);
+    }
+    drop(listener);
+    node.stop.idle().await;
+    while !guests.borrow().is_empty() {
+        for (_, guest) in guests.borrow().iter() {
+            guest.close.notify_one();
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+fn welcome(stream: TcpStream, guests: &Rc<Guests>, node: &Rc<Node>) {
+    if let Err(error) = stream.set_nodelay(true) {
+        note!("accept: {error}");
+    }
+    let limits = &node.limits;
+    let held = guests.borrow().len();
+    let surplus = held >= limits.client_sockets && {
+        let idle_ended = close_idle(&guests.borrow());
+        !idle_ended || held >= limits.client_sockets + limits.surplus_sockets / 2
+    };
+    let guest = Rc::new(Guest::new(surplus));
+    let key = guests.borrow_mut().insert(guest.clone());
+    let (guests, node) = (guests.clone(), node.clone());
+    tokio::task::spawn_local(async move {
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(node.limits.head_bytes + node.limits.body_bytes);
+        let service = TowerToHyperService::new(Intake { node, guest: guest.clone() });
+        let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+        loop {
+            tokio::select! {
+                // A client that goes ends it: whatever was in hand is dropped and told to the module.
+                _ = connection.as_mut() => break,
+                () = guest.close.notified() => connection.as_mut().graceful_shutdown(),
+            }
+        }
+        guests.borrow_mut().remove(key);
+    });
+}
+
+/// Closes the connection that has been idle for longest; false if none is.
+fn close_idle(guests: &Slab<Rc<Guest>>) -> bool {
+    let idle = guests.iter().map(|(_, g)| g).filter(|g| g.commands.get() == 0);
+    let oldest = idle.min_by_key(|g| g.idle_since.get());
+    if let Some(guest) = oldest {
+        // Looked at again only after it had the time to go.
+        guest.idle_since.set(Instant::now());
+        guest.close.notify_one();
+    }
+    oldest.is_some()
+}
--- /dev/null
+++ b/crates/node/src/desk.rs
@@ -0,0 +1,233 @@
+//! Owns the decision module and the commands in hand. Every call goes straight through; what the module wants
+//! besides is handed on as errands. No borrow lasts beyond a call.
+
+use crate::launch::Done;
+use slab::Slab;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{mpsc, Notify};
+use tokio::time::Instant;
+use yarrowfront::command::{Command, Outcome};
+use yarrowfront::decide::{Balancer, Errand, ListKind, Listed, Say, State};
+use yarrowfront::ids::{BackendId, CommandId, GroupId, Hand, KindId, ZoneId};
+use yarrowfront::times::{Moment, Span};
+
+/// Unix time at start and a monotonic clock from there: a list's start times compare, and nothing runs back.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    unix: u64,
+    start: Instant,
+}
+
+impl Clock {
+    pub fn start() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { unix: unix.as_micros() as u64, start: Instant::now() }
+    }
+
+    pub fn now(&self) -> Moment {
+        Moment(self.unix + self.start.elapsed().as_micros() as u64)
+    }
+
+    pub fn instant(&self, at: Moment) -> Instant {
+        self.start + Duration::from_micros(at.since(Moment(self.unix)).0)
+    }
+}
+
+/// A line of the list, by names.
+pub struct Line {
+    pub name: String,
+    /// None for a backend that is gone: nobody goes there.
+    pub address: Option<SocketAddr>,
+    pub zone: ZoneId,
+    pub kind: KindId,
+    pub group: GroupId,
+    pub state: State,
+    pub started: Moment,
+}
+
+struct InHand {
+    command: Command,
+    /// The module wants it placed again.
+    again: Rc<Notify>,
+    /// Its client has its answer or has gone; only launches are still out.
+    left: bool,
+}
+
+struct Inner {
+    module: Balancer,
+    hands: Slab<InHand>,
+    ids: HashMap<String, BackendId>,
+    /// By id; those of backends that are gone stay known.
+    addresses: Vec<Option<SocketAddr>>,
+    commands: u32,
+}
+
+pub struct Desk {
+    pub clock: Clock,
+    inner: RefCell<Inner>,
+    errands: mpsc::UnboundedSender<Errand>,
+    /// The module's own time to be asked has moved.
+    moved: Notify,
+    told: Cell<bool>,
+}
+
+impl Desk {
+    pub fn new(module: Balancer, clock: Clock, errands: mpsc::UnboundedSender<Errand>) -> Desk {
+        let (hands, ids) = (Slab::new(), HashMap::new());
+        let inner = RefCell::new(Inner { module, hands, ids, addresses: Vec::new(), commands: 0 });
+        Desk { clock, inner, errands, moved: Notify::new(), told: Cell::new(false) }
+    }
+
+    /// One call of the module, and the errands that came of it.
+    fn ask<T>(&self, call: impl FnOnce(&mut Inner, Moment) -> T) -> T {
+        let now = self.clock.now();
+        let inner = &mut *self.inner.borrow_mut();
+        let before = inner.module.wait(now, None);
+        let value = call(inner, now);
+        while let Some(errand) = inner.module.errand(now) {
+            match errand {
+                Errand::Again(hand) => {
+                    if let Some(held) = inner.hands.get(hand.0 as usize) {
+                        held.again.notify_one();
+                    }
+                }
+                // Nobody listens only when the node is coming down.
+                other => drop(self.errands.send(other)),
+            }
+        }
+        if inner.module.wait(now, None) != before {
+            self.moved.notify_one();
+        }
+        value
+    }
+
+    /// Asks for errands whenever the module's own time has come.
+    pub async fn upkeep(&self) {
+        loop {
+            let wait = self.inner.borrow().module.wait(self.clock.now(), None);
+            match wait {
+                // The clock of the runtime counts in milliseconds: never a tighter loop than that.
+                Some(span) => {
+                    let pause = Duration::from_micros(span.0.max(1000));
+                    tokio::select! {
+                        () = tokio::time::sleep(pause) => self.ask(|_, _| ()),
+                        () = self.moved.notified() => {}
+                    }
+                }
+                None => self.moved.notified().await,
+            }
+        }
+    }
+
+    /// Takes a command in hand.
+    pub fn take(&self, mut command: Command) -> (Hand, Rc<Notify>) {
+        let inner = &mut *self.inner.borrow_mut();
+        inner.commands = inner.commands.wrapping_add(1);
+        command.id = CommandId(inner.commands);
+        let again = Rc::new(Notify::new());
+        let key = inner.hands.insert(InHand { command, again: again.clone(), left: false });
+        (Hand(key as u32), again)
+    }
+
+    pub fn place(&self, hand: Hand) -> Say {
+        self.ask(|inner, now| inner.module.place(now, hand, &mut inner.hands[hand.0 as usize].command))
+    }
+
+    /// A launch of this command has ended.
+    pub fn after(&self, hand: Hand, done: &Done) -> Say {
+        self.ask(|inner, now| {
+            let key = hand.0 as usize;
+            let command = &mut inner.hands[key].command;
+            command.closed |= done.outcome == Outcome::Finished;
+            let say = inner.module.after(now, hand, command, done.number, done.outcome);
+            inner.module.report(now, done.backend, true, None, &done.report);
+            inner.let_go(key);
+            say
+        })
+    }
+
+    /// Its client has its answer, or has gone.
+    pub fn leave(&self, hand: Hand) {
+        self.ask(|inner, _| {
+            let held = &mut inner.hands[hand.0 as usize];
+            if !held.command.closed {
+                inner.module.dropped(&mut held.command);
+            }
+            held.left = true;
+            inner.let_go(hand.0 as usize);
+        });
+    }
+
+    pub fn wait(&self, hand: Hand) -> Option<Duration> {
+        let inner = self.inner.borrow();
+        let command = &inner.hands[hand.0 as usize].command;
+        let span = inner.module.wait(self.clock.now(), Some(command))?;
+        Some(Duration::from_micros(span.0.max(1000)))
+    }
+
+    /// The number of a command's last launch.
+    pub fn last_launch(&self, hand: Hand) -> u8 {
+        (self.inner.borrow().hands[hand.0 as usize].command.launched() - 1) as u8
+    }
+
+    /// What a probe found.
+    pub fn probed(&self, backend: BackendId, found: bool, trip: Span, values: &[f32]) {
+        self.ask(|inner, now| inner.module.report(now, backend, found, Some(trip), values));
+    }
+
+    pub fn list(&self, kind: ListKind, lines: &[Line]) {
+        self.ask(|inner, now| {
+            if kind == ListKind::Whole || kind == ListKind::Cached {
+                inner.addresses.fill(None);
+            }
+            let listed: Vec<_> = lines.iter().map(|line| inner.listed(line)).collect();
+            inner.module.list(now, kind, listed.into_iter());
+        });
+        if kind != ListKind::Failed {
+            self.told.set(true);
+        }
+    }
+
+    /// Whether there is a list to go by, an old one too.
+    pub fn told(&self) -> bool {
+        self.told.get()
+    }
+
+    pub fn address(&self, backend: BackendId) -> Option<SocketAddr> {
+        self.inner.borrow().addresses.get(backend.0 as usize).copied().flatten()
+    }
+}
+
+impl Inner {
+    fn let_go(&mut self, key: usize) {
+        let held = &self.hands[key];
+        if held.left && held.command.out() == 0 {
+            self.hands.remove(key);
+        }
+    }
+
+    fn listed(&mut self, line: &Line) -> Listed {
+        let backend = match self.ids.get(&line.name) {
+            Some(&id) => id,
+            None => {
+                let id = BackendId(self.addresses.len() as u32);
+                self.ids.insert(line.name.clone(), id);
+                self.addresses.push(None);
+                id
+            }
+        };
+        self.addresses[backend.0 as usize] = line.address;
+        Listed {
+            backend,
+            zone: line.zone,
+            kind: line.kind,
+            group: line.group,
+            state: line.state,
+            started: line.started,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/intake.rs
@@ -0,0 +1,186 @@
+//! What a client sends: routes it, reads a command's head and body, and refuses what is not one.
+
+use crate::accept::Guest;
+use crate::desk::Desk;
+use crate::launch::{Cargo, Launcher, TIME_LEFT};
+use crate::limits::Limits;
+use crate::serve::serve;
+use crate::start::Names;
+use crate::stop::Stop;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::time::timeout;
+use tower::Service;
+use yarrowfront::command::Command;
+use yarrowfront::ids::{CommandId, CustomerId, ProfileId};
+use yarrowfront::terms::Effect;
+use yarrowfront::times::Span;
+
+pub type Reply = Response<Full<Bytes>>;
+
+const ID: &str = "x-correlation-id";
+const PROFILE: &str = "x-service-class";
+const CUSTOMER: &str = "x-account";
+const TAG: &str = "idempotency-key";
+const HINT: &str = "x-weight-hint";
+const REPEAT: &str = "x-repeat";
+
+/// What belongs to one connection and not to the command on it.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::EXPECT,
+    header::CONTENT_LENGTH,
+];
+
+/// All that the stages of a command share.
+pub struct Node {
+    pub desk: Rc<Desk>,
+    pub launcher: Launcher,
+    pub limits: Rc<Limits>,
+    pub names: Rc<Names>,
+    pub effects: Vec<Effect>,
+    pub stop: Rc<Stop>,
+}
+
+pub fn plain(status: StatusCode, text: &str) -> Reply {
+    let mut reply = Response::new(Full::new(Bytes::from(format!("{text}\n"))));
+    *reply.status_mut() = status;
+    reply.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    reply
+}
+
+/// The node as a service: one for each connection.
+#[derive(Clone)]
+pub struct Intake {
+    pub node: Rc<Node>,
+    pub guest: Rc<Guest>,
+}
+
+impl Service<Request<Incoming>> for Intake {
+    type Response = Reply;
+    type Error = Infallible;
+    type Future = Pin<Box<dyn Future<Output = Result<Reply, Infallible>>>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: Request<Incoming>) -> Self::Future {
+        let Intake { node, guest } = self.clone();
+        Box::pin(async move {
+            let busy = guest.busy();
+            let mut reply = node.answer(&guest, request).await;
+            if guest.surplus || node.stop.stopping() {
+                reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
+            drop(busy);
+            Ok(reply)
+        })
+    }
+}
+
+impl Node {
+    async fn answer(&self, guest: &Guest, request: Request<Incoming>) -> Reply {
+        match request.uri().path() {
+            "/up" if request.method() == Method::GET => {
+                return match self.stop.stopping() || !self.desk.told() {
+                    true => plain(StatusCode::SERVICE_UNAVAILABLE, "not taking commands"),
+                    false => plain(StatusCode::OK, "up"),
+                };
+            }
+            "/api" => {}
+            path if path.starts_with("/api/") => {}
+            _ => return plain(StatusCode::NOT_FOUND, "no such path"),
+        }
+        if guest.surplus {
+            return plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections");
+        }
+        let mut command = match self.command(request.method(), request.headers()) {
+            Ok(command) => command,
+            Err(why) => return plain(StatusCode::BAD_REQUEST, &why),
+        };
+        let most = self.limits.body_bytes;
+        if request.body().size_hint().lower() > most as u64 {
+            return plain(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
+        }
+        let left = command.ends.since(command.arrived);
+        let (head, body) = request.into_parts();
+        let body = Limited::new(body, most).collect();
+        let body = match timeout(Duration::from_micros(left.0), body).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(e)) if e.is::<LengthLimitError>() => {
+                return plain(StatusCode::PAYLOAD_TOO_LARGE, "body too large")
+            }
+            Ok(Err(_)) => return plain(StatusCode::BAD_REQUEST, "body broken off"),
+            Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "body not here in time"),
+        };
+        // Its time counts from its last byte.
+        command.arrived = self.desk.clock.now();
+        command.ends = command.arrived + left;
+        let cargo = Cargo { method: head.method, uri: head.uri, headers: onward(head.headers), body };
+        serve(self, command, Rc::new(cargo)).await
+    }
+
+    /// The few fields that the decisions need.
+    fn command(&self, method: &Method, headers: &HeaderMap) -> Result<Command, String> {
+        let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
+        if text(ID).is_none_or(str::is_empty) {
+            return Err(format!("{ID} is missing"));
+        }
+        let name = text(PROFILE).ok_or_else(|| format!("{PROFILE} is missing"))?;
+        let profile = self.names.profiles.iter().position(|p| p == name);
+        let profile = profile.ok_or_else(|| format!("{PROFILE} is unknown"))?;
+        if method != Method::GET && method != Method::POST {
+            return Err("only GET and POST are commands".into());
+        }
+        // Without its tag a repeat would not be known as one.
+        if self.effects[profile] == Effect::Tagged && text(TAG).is_none_or(str::is_empty) {
+            return Err(format!("{TAG} is missing"));
+        }
+        let left = text(TIME_LEFT).ok_or_else(|| format!("{TIME_LEFT} is missing"))?;
+        let left: u64 = left.parse().map_err(|_| format!("{TIME_LEFT} is not whole milliseconds"))?;
+        let left = Duration::from_millis(left).min(self.limits.longest_command);
+        let customer = text(CUSTOMER).and_then(|c| self.names.customers.iter().position(|n| n == c));
+        let customer = match customer {
+            Some(n) => CustomerId(n as u32),
+            None if self.names.customers.is_empty() => CustomerId(0),
+            // Of no customer that is known: it counts against nobody's quota.
+            None => CustomerId(u32::MAX),
+        };
+        let (now, profile) = (self.desk.clock.now(), ProfileId(profile as u16));
+        let mut command = Command::new(CommandId(0), profile, customer, now, Span(left.as_micros() as u64));
+        // A guess that cannot be read is none.
+        command.hint = text(HINT).and_then(|h| h.parse().ok()).map(Span);
+        command.repeat = text(REPEAT) == Some("1");
+        Ok(command)
+    }
+}
+
+/// A command's headers as they go on: all but those of the connection it came on.
+fn onward(mut headers: HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+    headers
+}
--- /dev/null
+++ b/crates/node/src/launch.rs
@@ -0,0 +1,151 @@
+//! One launch: a command's bytes to one backend, and what came of it.
+
+use crate::desk::Clock;
+use crate::limits::Limits;
+use crate::pool::{Lease, NoLease, Pool};
+use crate::probe;
+use crate::start::Names;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::time::timeout_at;
+use tower::Service;
+use yarrowfront::command::Outcome;
+use yarrowfront::ids::BackendId;
+use yarrowfront::times::Moment;
+
+pub const TIME_LEFT: &str = "x-time-left-ms";
+const UNPROCESSED: &str = "x-unprocessed";
+pub const BACKEND_LOAD: &str = "x-backend-load";
+
+/// What goes on of a command, as it came.
+pub struct Cargo {
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+#[derive(Clone)]
+pub struct Launch {
+    pub cargo: Rc<Cargo>,
+    pub number: u8,
+    pub backend: BackendId,
+    pub address: Option<SocketAddr>,
+    /// When the command's client gives up.
+    pub ends: Moment,
+}
+
+/// A backend's answer, read whole.
+pub struct Answer {
+    pub content_type: Option<HeaderValue>,
+    pub body: Bytes,
+}
+
+/// How a launch ended.
+pub struct Done {
+    pub number: u8,
+    pub backend: BackendId,
+    pub outcome: Outcome,
+    pub answer: Option<Answer>,
+    pub report: Vec<f32>,
+}
+
+#[derive(Clone)]
+pub struct Launcher {
+    pub pool: Rc<Pool>,
+    pub clock: Clock,
+    pub limits: Rc<Limits>,
+    pub names: Rc<Names>,
+}
+
+impl Service<Launch> for Launcher {
+    type Response = Done;
+    type Error = Infallible;
+    type Future = Pin<Box<dyn Future<Output = Result<Done, Infallible>>>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, launch: Launch) -> Self::Future {
+        let launcher = self.clone();
+        Box::pin(async move { Ok(launcher.run(launch).await) })
+    }
+}
+
+impl Launcher {
+    async fn run(&self, launch: Launch) -> Done {
+        let (number, backend) = (launch.number, launch.backend);
+        let mut done = Done { number, backend, outcome: Outcome::Unsent, answer: None, report: Vec::new() };
+        let until = self.clock.instant(launch.ends);
+        let Some(address) = launch.address else { return done };
+        loop {
+            let lease = match timeout_at(until, self.pool.lease(backend, address)).await {
+                Ok(Ok(lease)) => lease,
+                Ok(Err(NoLease::Unreachable)) => {
+                    done.outcome = Outcome::Unreachable;
+                    return done;
+                }
+                // No socket for it, or the client's time ran out while one was opened: nobody is to blame.
+                Ok(Err(NoLease::Full)) | Err(_) => return done,
+            };
+            let fresh = lease.fresh;
+            match timeout_at(until, self.exchange(&launch, lease)).await {
+                Ok(Some(Exchange::Unsent)) if !fresh => continue,
+                Ok(Some(Exchange::Unsent)) => done.outcome = Outcome::Unreachable,
+                Ok(Some(Exchange::Came(response))) => self.read(&mut done, response),
+                Ok(None) => done.outcome = Outcome::Broken,
+                Err(_) => done.outcome = Outcome::TimedOut,
+            }
+            return done;
+        }
+    }
+
+    /// Sends the command and reads the whole answer; none if that broke off, so that it may have run.
+    async fn exchange(&self, launch: &Launch, mut lease: Lease) -> Option<Exchange> {
+        let mut request = Request::new(Full::new(launch.cargo.body.clone()));
+        *request.method_mut() = launch.cargo.method.clone();
+        *request.uri_mut() = launch.cargo.uri.clone();
+        *request.headers_mut() = launch.cargo.headers.clone();
+        let left = launch.ends.since(self.clock.now()).0 / 1000;
+        request.headers_mut().insert(TIME_LEFT, HeaderValue::from(left));
+        let response = match lease.sender.try_send_request(request).await {
+            Ok(response) => response,
+            // Only a request that comes back was surely never written.
+            Err(mut error) => return error.take_message().map(|_| Exchange::Unsent),
+        };
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, self.limits.body_bytes).collect().await.ok()?.to_bytes();
+        self.pool.give_back(launch.backend, lease);
+        Some(Exchange::Came(Response::from_parts(head, body)))
+    }
+
+    fn read(&self, done: &mut Done, response: Response<Bytes>) {
+        let (head, body) = response.into_parts();
+        if let Some(load) = head.headers.get(BACKEND_LOAD) {
+            done.report = probe::report(&self.names.report, load.as_bytes()).unwrap_or_default();
+        }
+        let unprocessed = head.headers.get(UNPROCESSED).is_some_and(|v| v.as_bytes().trim_ascii() == b"1");
+        done.outcome = match head.status {
+            StatusCode::OK => Outcome::Finished,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => Outcome::Full,
+            _ => Outcome::Errored,
+        };
+        if done.outcome == Outcome::Finished {
+            done.answer = Some(Answer { content_type: head.headers.get(CONTENT_TYPE).cloned(), body });
+        }
+    }
+}
+
+enum Exchange {
+    Unsent,
+    Came(Response<Bytes>),
+}
--- /dev/null
+++ b/crates/node/src/limits.rs
@@ -0,0 +1,65 @@
+//! Every size, count and time that bounds the node: filled once at start and handed down.
+
+use std::time::Duration;
+
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// The head of a command or an answer.
+    pub head_bytes: usize,
+    /// The body of either: the protocol's figure.
+    pub body_bytes: usize,
+    /// One line of the list.
+    pub line_bytes: usize,
+    /// Connections from clients, those to backends (launches and probes), and those turned back at once.
+    pub client_sockets: usize,
+    pub backend_sockets: usize,
+    pub surplus_sockets: usize,
+    /// Connections that the kernel may hold until they are accepted.
+    pub backlog: u32,
+    pub dial: Duration,
+    /// How long a connection to a backend may stand idle.
+    pub backend_idle: Duration,
+    /// A probe's answer: it comes beside the queue, so in about a trip.
+    pub probe_wait: Duration,
+    /// A line of the list or a sign of life: two beats of two seconds, and something for the way.
+    pub beat_wait: Duration,
+    /// How long after the signal to stop connections are still accepted, and idle ones left open.
+    pub accept_on: Duration,
+    pub idle_on: Duration,
+    /// How long a command may be in hand at most, whatever its client says.
+    pub longest_command: Duration,
+    pub notes_per_s: u32,
+}
+
+/// Standard streams, the runtime's own, the listener, discovery, and some that are just being closed.
+const KEPT_BACK: usize = 64;
+
+impl Limits {
+    pub fn fill(sockets: usize, memory_mb: usize, dial: Duration, backend_idle: Duration) -> Limits {
+        let body_bytes = 64 << 10;
+        let surplus_sockets = sockets / 16;
+        let room = sockets.saturating_sub(KEPT_BACK + surplus_sockets).max(8);
+        // A command in hand may hold two bodies, a head each way and their buffers: half the memory at most.
+        let by_memory = (memory_mb << 20) / 2 / (4 * body_bytes);
+        // A command has one connection on either side; clients keep more of them idle than the pool does.
+        let client_sockets = (room * 3 / 5).min(by_memory).max(4);
+        Limits {
+            head_bytes: 16 << 10,
+            body_bytes,
+            line_bytes: 4 << 20,
+            client_sockets,
+            backend_sockets: (room * 2 / 5).max(4),
+            surplus_sockets,
+            backlog: 1024,
+            dial,
+            // Whatever the way takes, and however late the node is: half of it is well before.
+            backend_idle: backend_idle / 2,
+            probe_wait: Duration::from_millis(50),
+            beat_wait: Duration::from_millis(4300),
+            accept_on: Duration::from_millis(500),
+            idle_on: Duration::from_millis(600),
+            longest_command: Duration::from_secs(600),
+            notes_per_s: 5,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/list.rs
@@ -0,0 +1,159 @@
+//! The list of backends: the one known at start, and the watch.
+
+use crate::desk::{Desk, Line};
+use crate::limits::Limits;
+use crate::log::note;
+use crate::start::Names;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::client::conn::http1;
+use hyper::header::{HeaderValue, HOST};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{timeout, timeout_at, Instant};
+use yarrowfront::decide::{ListKind, State};
+use yarrowfront::ids::{GroupId, KindId, ZoneId};
+use yarrowfront::times::Moment;
+
+pub struct Lister {
+    pub desk: Rc<Desk>,
+    pub limits: Rc<Limits>,
+    pub names: Rc<Names>,
+    pub discovery: SocketAddr,
+    /// The version that this node has.
+    pub index: u64,
+}
+
+fn place(names: &[String], entry: &Value, key: &str) -> Result<usize, String> {
+    let name = entry.get(key).and_then(Value::as_str).ok_or_else(|| format!("{key} is not a text"))?;
+    names.iter().position(|n| n == name).ok_or_else(|| format!("{key} {name:?} is not in the settings"))
+}
+
+fn number(entry: &Value, key: &str) -> Result<u64, String> {
+    entry.get(key).and_then(Value::as_u64).ok_or_else(|| format!("{key} is not a whole number"))
+}
+
+fn line(names: &Names, entry: &Value) -> Result<Line, String> {
+    let name = entry.get("name").and_then(Value::as_str).ok_or("name is not a text")?.to_owned();
+    let state = match entry.get("status").and_then(Value::as_str) {
+        Some("ready") => State::Ready,
+        Some("draining") => State::Draining,
+        Some("gone") => State::Gone,
+        _ => return Err("status is unknown".into()),
+    };
+    if state == State::Gone {
+        // Nothing else of it matters, nor must be there.
+        let (zone, kind, group, started) = (ZoneId(0), KindId(0), GroupId(0), Moment(0));
+        return Ok(Line { name, address: None, zone, kind, group, state, started });
+    }
+    let address = entry.get("address").and_then(Value::as_str).and_then(|a| a.parse().ok());
+    Ok(Line {
+        name,
+        address: Some(address.ok_or("address is not an address with a port")?),
+        zone: ZoneId(place(&names.zones, entry, "zone")? as u16),
+        kind: KindId(place(&names.kinds, entry, "type")? as u8),
+        group: GroupId(number(entry, "group")? as u16),
+        state,
+        started: Moment(number(entry, "since_ms")?.saturating_mul(1000)),
+    })
+}
+
+impl Lister {
+    /// One message of discovery. A bad entry is left out, the others count.
+    pub fn told(&mut self, message: &Value, cached: bool) -> Result<(), String> {
+        let entries = message.get("endpoints").and_then(Value::as_array).ok_or("endpoints is not a list")?;
+        let whole = message.get("snapshot").and_then(Value::as_bool).unwrap_or(false);
+        let mut lines = Vec::with_capacity(entries.len());
+        for entry in entries {
+            match line(&self.names, entry) {
+                Ok(line) => lines.push(line),
+                Err(why) => note!("list: an entry is left out: {why}: {entry}"),
+            }
+        }
+        let kind = match (cached, whole) {
+            (true, _) => ListKind::Cached,
+            (false, true) => ListKind::Whole,
+            (false, false) => ListKind::Changes,
+        };
+        self.index = number(message, "index").unwrap_or(self.index);
+        self.desk.list(kind, &lines);
+        Ok(())
+    }
+
+    /// Watches whenever the module wants the list followed, and says when that has ended.
+    pub async fn run(mut self, mut wanted: mpsc::UnboundedReceiver<()>) {
+        while wanted.recv().await.is_some() {
+            if let Err(why) = self.watch().await {
+                note!("list: the watch has ended: {why}");
+            }
+            while wanted.try_recv().is_ok() {}
+            self.desk.list(ListKind::Failed, &[]);
+        }
+    }
+
+    async fn watch(&mut self) -> Result<(), String> {
+        let stream = timeout(self.limits.dial, TcpStream::connect(self.discovery)).await;
+        let stream = stream.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?;
+        stream.set_nodelay(true).map_err(|e| e.to_string())?;
+        let (mut sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+        let driver = async {
+            let _ = connection.await;
+            // The reader below finds out by itself, and may still have lines to read.
+            std::future::pending::<()>().await;
+        };
+        tokio::select! {
+            () = driver => Ok(()),
+            end = self.read(&mut sender) => end,
+        }
+    }
+
+    async fn read(&mut self, sender: &mut http1::SendRequest<Empty<Bytes>>) -> Result<(), String> {
+        let mut request = Request::new(Empty::new());
+        let path = format!("/discovery/hosts?stream=1&index={}", self.index);
+        *request.uri_mut() = path.parse().map_err(|e| format!("{e}"))?;
+        let host = HeaderValue::from_str(&self.discovery.to_string()).map_err(|e| e.to_string())?;
+        request.headers_mut().insert(HOST, host);
+        let mut beat = Instant::now() + self.limits.beat_wait;
+        let response = timeout_at(beat, sender.send_request(request)).await;
+        let response = response.map_err(|_| "no answer in time")?.map_err(|e| e.to_string())?;
+        if response.status() != StatusCode::OK {
+            return Err(format!("answered {}", response.status()));
+        }
+        let (mut body, mut rest, mut first) = (response.into_body(), Vec::new(), true);
+        loop {
+            // A cut network says nothing at all: silence is the only sign.
+            let frame = timeout_at(beat, body.frame()).await.map_err(|_| "no line for two beats")?;
+            let frame = frame.ok_or("closed by discovery")?.map_err(|e| e.to_string())?;
+            rest.extend_from_slice(frame.data_ref().map_or(&[][..], |d| d));
+            while let Some(end) = rest.iter().position(|&b| b == b'\n') {
+                let line: Vec<u8> = rest.drain(..=end).collect();
+                beat = Instant::now() + self.limits.beat_wait;
+                self.take(line.trim_ascii(), first);
+                first = false;
+            }
+            if rest.len() > self.limits.line_bytes {
+                return Err("a line is too long".into());
+            }
+        }
+    }
+
+    fn take(&mut self, line: &[u8], first: bool) {
+        if line.is_empty() {
+            if first {
+                // Nothing has changed since the version asked for: that too is an answer.
+                self.desk.list(ListKind::Changes, &[]);
+            }
+            return;
+        }
+        let told = serde_json::from_slice::<Value>(line).map_err(|e| e.to_string());
+        if let Err(why) = told.and_then(|message| self.told(&message, false)) {
+            note!("list: a line is left out: {why}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,108 @@
+//! The yarrowfront node: the decision module on sockets. Here the stages are wired to each other.
+#![forbid(unsafe_code)]
+
+mod accept;
+mod desk;
+mod intake;
+mod launch;
+mod limits;
+mod list;
+mod log;
+mod pool;
+mod probe;
+mod serve;
+mod start;
+mod stop;
+
+use crate::desk::{Clock, Desk};
+use crate::log::note;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::task::{spawn_local, LocalSet};
+use yarrowfront::decide::{Balancer, Errand};
+
+fn main() -> ExitCode {
+    let start = start::Start::read(|name| std::env::var(name).ok());
+    let ended = start.and_then(|start| {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+        LocalSet::new().block_on(&runtime, run(start))
+    });
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(text) => {
+            eprintln!("yarrowfront: {text}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(start: start::Start) -> Result<(), String> {
+    let (limits, names) = (Rc::new(start.limits), Rc::new(start.names));
+    log::allow(limits.notes_per_s);
+    let clock = Clock::start();
+    let effects = start.terms.profiles.iter().map(|p| p.effect).collect();
+    let must_ask = start.terms.must_ask;
+    let (errand, mut errands) = mpsc::unbounded_channel();
+    let desk = Rc::new(Desk::new(Balancer::new(start.terms, start.seed, clock.now()), clock, errand));
+    let pool = Rc::new(pool::Pool::new(limits.clone()));
+
+    let mut lister = list::Lister {
+        desk: desk.clone(),
+        limits: limits.clone(),
+        names: names.clone(),
+        discovery: start.discovery,
+        index: 0,
+    };
+    if let Some(Err(why)) = start.known.map(|known| lister.told(&known, true)) {
+        return Err(format!("known: {why}"));
+    }
+    let listener = accept::bind(start.listen, limits.backlog).map_err(|e| format!("listen: {e}"))?;
+    let stop = Rc::new(stop::Stop::new(limits.clone()));
+    let (follow, followed) = mpsc::unbounded_channel();
+    if !must_ask {
+        // Where the list comes by itself, on sockets that is a watch from the start.
+        let _ = follow.send(());
+    }
+    spawn_local(lister.run(followed));
+
+    let prober = probe::Prober {
+        desk: desk.clone(),
+        pool: pool.clone(),
+        limits: limits.clone(),
+        names: names.clone(),
+    };
+    let (pool_of_errands, kept) = (pool.clone(), desk.clone());
+    spawn_local(async move {
+        while let Some(errand) = errands.recv().await {
+            match errand {
+                Errand::Probe(backend) => drop(spawn_local(prober.clone().probe(backend))),
+                Errand::Follow => drop(follow.send(())),
+                Errand::Close(backend) => pool_of_errands.close(backend),
+                // The desk has woken that command itself.
+                Errand::Again(_) => {}
+            }
+        }
+    });
+    spawn_local(async move { kept.upkeep().await });
+    let (swept, addresses) = (pool.clone(), desk.clone());
+    spawn_local(async move {
+        loop {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            swept.sweep(|backend| addresses.address(backend));
+        }
+    });
+    let signals = stop.clone();
+    spawn_local(async move {
+        if let Err(error) = signals.listen().await {
+            note!("stop: no signal can be heard: {error}");
+        }
+    });
+
+    let launcher = launch::Launcher { pool, clock, limits: limits.clone(), names: names.clone() };
+    note!("{}: listening on {}", start.name, start.listen);
+    accept::accept(listener, Rc::new(intake::Node { desk, launcher, limits, names, effects, stop })).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/node/src/probe.rs
@@ -0,0 +1,84 @@
+//! Asks a backend for its load, and reads load reports.
+
+use crate::desk::Desk;
+use crate::limits::Limits;
+use crate::log::note;
+use crate::pool::Pool;
+use crate::start::Names;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::{HeaderValue, HOST};
+use hyper::{Request, StatusCode};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::time::timeout;
+use yarrowfront::ids::BackendId;
+
+/// The settings' names of a report's fields, and what the sockets call them.
+const SOCKET_NAMES: [(&str, &str); 6] = [
+    ("outstanding", "inflight"),
+    ("backlog", "queue"),
+    ("utilization", "util"),
+    ("recent_ms", "latency_ms"),
+    ("throughput", "qps"),
+    ("errors_per_s", "eps"),
+];
+
+/// The values of a load report in the order of the settings; none if it is not a whole one.
+pub fn report(names: &[String], bytes: &[u8]) -> Option<Vec<f32>> {
+    let json: Value = serde_json::from_slice(bytes).ok().unwrap_or_default();
+    let value = |name: &String| {
+        let known = SOCKET_NAMES.iter().find(|(settings, _)| settings == name);
+        let field = json.get(name).or_else(|| json.get(known?.1))?;
+        field.as_f64().filter(|v| (0.0..1e9).contains(v)).map(|v| v as f32)
+    };
+    let values: Option<Vec<f32>> = names.iter().map(value).collect();
+    if values.is_none() {
+        note!("load report left out: {:?}", String::from_utf8_lossy(&bytes[..bytes.len().min(200)]));
+    }
+    values
+}
+
+#[derive(Clone)]
+pub struct Prober {
+    pub desk: Rc<Desk>,
+    pub pool: Rc<Pool>,
+    pub limits: Rc<Limits>,
+    pub names: Rc<Names>,
+}
+
+impl Prober {
+    pub async fn probe(self, backend: BackendId) {
+        let sent = self.desk.clock.now();
+        let found = match self.desk.address(backend) {
+            Some(address) => timeout(self.limits.probe_wait, self.ask(backend, address)).await.ok().flatten(),
+            None => None,
+        };
+        let trip = self.desk.clock.now().since(sent);
+        self.desk.probed(backend, found.is_some(), trip, found.as_deref().unwrap_or_default());
+    }
+
+    /// The report; empty where there is none to be had, and none where nobody answers.
+    async fn ask(&self, backend: BackendId, address: SocketAddr) -> Option<Vec<f32>> {
+        loop {
+            let mut lease = self.pool.lease(backend, address).await.ok()?;
+            let mut request = Request::new(Full::new(Bytes::new()));
+            *request.uri_mut() = hyper::Uri::from_static("/metrics/load");
+            request.headers_mut().insert(HOST, HeaderValue::from_static("origin.svc"));
+            let response = match lease.sender.try_send_request(request).await {
+                Ok(response) => response,
+                Err(error) if error.message().is_some() && !lease.fresh => continue,
+                Err(_) => return None,
+            };
+            let good = response.status() == StatusCode::OK;
+            let body = Limited::new(response.into_body(), self.limits.body_bytes);
+            let body = body.collect().await.ok()?.to_bytes();
+            self.pool.give_back(backend, lease);
+            return good.then(|| match self.names.report.is_empty() {
+                true => Vec::new(),
+                false => report(&self.names.report, &body).unwrap_or_default(),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/start.rs
@@ -0,0 +1,104 @@
+//! What the node is told at start: the variables, and the file they name.
+
+use crate::limits::Limits;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+use yarrowfront::terms::Terms;
+
+/// Names on the sockets whose places in these lists are the module's ids.
+#[derive(Debug, Default)]
+pub struct Names {
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    pub profiles: Vec<String>,
+    pub customers: Vec<String>,
+    pub report: Vec<String>,
+}
+
+pub struct Start {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub terms: Terms,
+    pub names: Names,
+    pub limits: Limits,
+    /// The list as this node last had it.
+    pub known: Option<Value>,
+}
+
+/// Walks down to a value and names the key if it isn't there.
+fn at<'a>(value: &'a Value, path: &str) -> Result<&'a Value, String> {
+    let found = path.split('.').try_fold(value, |v, key| v.get(key));
+    found.filter(|v| !v.is_null()).ok_or_else(|| format!("{path} is missing"))
+}
+
+fn text(value: &Value, path: &str) -> Result<String, String> {
+    at(value, path)?.as_str().map(str::to_owned).ok_or_else(|| format!("{path} is not a text"))
+}
+
+fn address(text: &str, path: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("{path} is not an address with a port: {text}"))
+}
+
+fn count(value: &Value, path: &str) -> Result<usize, String> {
+    let n = at(value, path)?.as_u64().filter(|&n| n > 0 && n < 1 << 32);
+    n.map(|n| n as usize).ok_or_else(|| format!("{path} is not a whole number above 0"))
+}
+
+fn nanos(value: &Value, path: &str) -> Result<Duration, String> {
+    let n = at(value, path)?.as_u64().filter(|&n| n > 0);
+    n.map(Duration::from_nanos).ok_or_else(|| format!("{path} is not a time above 0"))
+}
+
+/// The texts of a list, or of one key of its objects; none where there is no such list.
+fn texts(value: &Value, path: &str, key: Option<&str>) -> Result<Vec<String>, String> {
+    let Ok(list) = at(value, path) else { return Ok(Vec::new()) };
+    let list = list.as_array().ok_or_else(|| format!("{path} is not a list"))?;
+    let item = |(i, v): (usize, &Value)| {
+        let v = key.map_or(Some(v), |k| v.get(k));
+        v.and_then(Value::as_str).map(str::to_owned).ok_or_else(|| match key {
+            Some(key) => format!("{path}[{i}].{key} is not a text"),
+            None => format!("{path}[{i}] is not a text"),
+        })
+    };
+    list.iter().enumerate().map(item).collect()
+}
+
+impl Start {
+    pub fn read(variable: impl Fn(&str) -> Option<String>) -> Result<Start, String> {
+        let path = variable("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
+        let bytes = std::fs::read(&path).map_err(|e| format!("ROUTER_CONFIG: {path}: {e}"))?;
+        let file: Value = serde_json::from_slice(&bytes).map_err(|e| format!("{path}: not JSON: {e}"))?;
+        // A variable that is set goes before the file: the two say the same unless somebody means it.
+        let told = |name: &str, key: &str| match variable(name) {
+            Some(text) => Ok((text, name.to_owned())),
+            None => text(&file, key).map(|text| (text, key.to_owned())),
+        };
+        let (name, _) = told("ROUTER_NAME", "name")?;
+        let (listen, key) = told("ROUTER_LISTEN", "listen")?;
+        let listen = address(&listen, &key)?;
+        let (discovery, key) = told("ROUTER_DISCOVERY", "discovery")?;
+        let discovery = address(&discovery, &key)?;
+        let seed = text(&file, "seed")?;
+        let seed = u64::from_str_radix(&seed, 16).map_err(|_| format!("seed is not hexadecimal: {seed}"))?;
+        let settings = at(&file, "settings")?;
+        let terms = Terms::from_json(settings.to_string().as_bytes())?;
+        let names = Names {
+            zones: texts(&file, "settings.zones", None)?,
+            kinds: texts(&file, "settings.flavors", None)?,
+            profiles: texts(&file, "settings.profiles", Some("name"))?,
+            customers: texts(&file, "settings.tenants", Some("name"))?,
+            report: texts(&file, "settings.report.names", None)?,
+        };
+        let limits = Limits::fill(
+            count(&file, "limits.sockets")?,
+            count(&file, "limits.memory_mb")?,
+            nanos(&file, "settings.limits.dialTimeout")?,
+            nanos(&file, "settings.limits.connIdle")?,
+        );
+        let known = file.get("known").filter(|k| !k.is_null()).cloned();
+        Ok(Start { name, listen, discovery, seed, terms, names, limits, known })
+    }
+}
