Never leave an accepted connection unread; test the node on loopback sockets

Seen: tests with toy backends, 110 descriptors and 60 silent clients: the node stopped accepting for ever at its budget, as room was only made on an accept (accept.rs, the loop's `held >= most`). Now idle connections make room there too, a head that does not get on is ended, and one that has just come is not taken for idle. Also: a body too large is read on, so that the 413 arrives; the answer's own headers go through; a draining entry that is otherwise bad still stops launches; the stop has a last moment; the log names launches that failed.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -1,6 +1,7 @@
 //! Connections from clients: accepted, counted, and closed when there is no more room or the node stops.
 
 use crate::intake::{Intake, Node};
+use crate::limits::Limits;
 use crate::log::note;
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -23,6 +24,8 @@
     commands: Cell<usize>,
     idle_since: Cell<Instant>,
     close: Notify,
+    /// Closed to make room, even in the middle of a head that does not get on.
+    evicted: Cell<bool>,
 }
 
 pub struct Busy<'a>(&'a Guest);
@@ -30,7 +33,8 @@
 impl Guest {
     fn new(surplus: bool) -> Guest {
         let idle_since = Cell::new(Instant::now());
-        Guest { surplus, commands: Cell::new(0), idle_since, close: Notify::new() }
+        let (commands, evicted) = (Cell::new(0), Cell::new(false));
+        Guest { surplus, commands, idle_since, close: Notify::new(), evicted }
     }
 
     /// A command is on it for as long as this lives.
@@ -47,7 +51,11 @@
     }
 }
 
-type Guests = RefCell<Slab<Rc<Guest>>>;
+#[derive(Default)]
+struct Guests {
+    here: RefCell<Slab<Rc<Guest>>>,
+    left: Notify,
+}
 
 pub fn bind(address: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
@@ -60,10 +68,18 @@
 /// Accepts until the node stops and all that was taken is answered.
 pub async fn accept(listener: TcpListener, node: Rc<Node>) {
     let guests = Rc::new(Guests::default());
+    let most = node.limits.client_sockets + node.limits.surplus_sockets;
     let mut over = pin!(node.stop.accepted());
     loop {
+        let held = guests.here.borrow().len();
+        if held >= most {
+            close_idle(&guests.here.borrow(), node.limits.settle);
+        }
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = listener.accept(), if held < most => accepted,
+            // Until one goes the kernel keeps the others. Silent ones must not stop that for ever.
+            () = guests.left.notified(), if held >= most => continue,
+            () = sleep(node.limits.settle), if held >= most => continue,
             () = &mut over => break,
         };
         match accepted {
@@ -75,16 +91,22 @@
         }
     }
     // What the kernel holds has been accepted as far as its client can tell.
-    while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+    while let Ok(Ok((stream, _))) = timeout(node.limits.last_look, listener.accept()).await {
         welcome(stream, &guests, &node);
     }
     drop(listener);
     node.stop.idle().await;
-    while !guests.borrow().is_empty() {
-        for (_, guest) in guests.borrow().iter() {
-            guest.close.notify_one();
+    for (_, guest) in guests.here.borrow().iter() {
+        guest.close.notify_one();
+    }
+    let gone = async {
+        while !guests.here.borrow().is_empty() {
+            guests.left.notified().await;
         }
-        sleep(Duration::from_millis(5)).await;
+    };
+    tokio::select! {
+        () = gone => {}
+        () = node.stop.ended() => note!("stop: {} connections still open", guests.here.borrow().len()),
     }
 }
 
@@ -93,14 +115,14 @@
         note!("accept: {error}");
     }
     let limits = &node.limits;
-    let held = guests.borrow().len();
-    let surplus = held >= limits.client_sockets && {
-        let idle_ended = close_idle(&guests.borrow());
-        !idle_ended || held >= limits.client_sockets + limits.surplus_sockets / 2
-    };
-    let guest = Rc::new(Guest::new(surplus));
-    let key = guests.borrow_mut().insert(guest.clone());
+    let held = guests.here.borrow().len();
+    // Past the budget an idle one makes room; the surplus ones are there for the time that it takes to go.
+    let room = held < limits.client_sockets
+        || close_idle(&guests.here.borrow(), limits.settle) && held < most_with_idle(limits);
+    let guest = Rc::new(Guest::new(!room));
+    let key = guests.here.borrow_mut().insert(guest.clone());
     let (guests, node) = (guests.clone(), node.clone());
+    let settle = limits.settle;
     tokio::task::spawn_local(async move {
         let mut builder = http1::Builder::new();
         builder.max_buf_size(node.limits.head_bytes + node.limits.body_bytes);
@@ -111,19 +133,28 @@
                 // A client that goes ends it: whatever was in hand is dropped and told to the module.
                 _ = connection.as_mut() => break,
                 () = guest.close.notified() => connection.as_mut().graceful_shutdown(),
+                () = sleep(settle), if guest.evicted.get() && guest.commands.get() == 0 => break,
             }
         }
-        guests.borrow_mut().remove(key);
+        guests.here.borrow_mut().remove(key);
+        guests.left.notify_one();
     });
 }
 
-/// Closes the connection that has been idle for longest; false if none is.
-fn close_idle(guests: &Slab<Rc<Guest>>) -> bool {
+fn most_with_idle(limits: &Limits) -> usize {
+    limits.client_sockets + limits.surplus_sockets / 2
+}
+
+/// Closes the connection that has been idle for longest; false if none is. One that has just come is not idle:
+/// it would be closed with its first command unread.
+fn close_idle(guests: &Slab<Rc<Guest>>, settle: Duration) -> bool {
     let idle = guests.iter().map(|(_, g)| g).filter(|g| g.commands.get() == 0);
+    let idle = idle.filter(|g| g.idle_since.get().elapsed() >= settle);
     let oldest = idle.min_by_key(|g| g.idle_since.get());
     if let Some(guest) = oldest {
         // Looked at again only after it had the time to go.
         guest.idle_since.set(Instant::now());
+        guest.evicted.set(true);
         guest.close.notify_one();
     }
     oldest.is_some()
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -197,6 +197,13 @@
         self.told.get()
     }
 
+    /// What discovery calls it, for the log.
+    pub fn name(&self, backend: BackendId) -> String {
+        let inner = self.inner.borrow();
+        let found = inner.ids.iter().find(|(_, id)| **id == backend);
+        found.map(|(name, _)| name.clone()).unwrap_or_default()
+    }
+
     pub fn address(&self, backend: BackendId) -> Option<SocketAddr> {
         self.inner.borrow().addresses.get(backend.0 as usize).copied().flatten()
     }
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -7,10 +7,11 @@
 use crate::serve::serve;
 use crate::start::Names;
 use crate::stop::Stop;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Response, StatusCode};
 use std::convert::Infallible;
 use std::future::Future;
@@ -106,35 +107,48 @@
             path if path.starts_with("/api/") => {}
             _ => return plain(StatusCode::NOT_FOUND, "no such path"),
         }
-        if guest.surplus {
-            return plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections");
-        }
         let mut command = match self.command(request.method(), request.headers()) {
             Ok(command) => command,
             Err(why) => return plain(StatusCode::BAD_REQUEST, &why),
         };
-        let most = self.limits.body_bytes;
-        if request.body().size_hint().lower() > most as u64 {
-            return plain(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
-        }
         let left = command.ends.since(command.arrived);
         let (head, body) = request.into_parts();
-        let body = Limited::new(body, most).collect();
-        let body = match timeout(Duration::from_micros(left.0), body).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => {
-                return plain(StatusCode::PAYLOAD_TOO_LARGE, "body too large")
-            }
+        let body = match timeout(Duration::from_micros(left.0), self.whole(body)).await {
+            Ok(Ok(Some(body))) => body,
+            Ok(Ok(None)) => return plain(StatusCode::PAYLOAD_TOO_LARGE, "body too large"),
             Ok(Err(_)) => return plain(StatusCode::BAD_REQUEST, "body broken off"),
             Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "body not here in time"),
         };
+        if guest.surplus {
+            // It was never launched: a turn-back is true.
+            return plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections");
+        }
         // Its time counts from its last byte.
         command.arrived = self.desk.clock.now();
         command.ends = command.arrived + left;
-        let cargo = Cargo { method: head.method, uri: head.uri, headers: onward(head.headers), body };
+        let path = head.uri.path_and_query().cloned().unwrap_or_else(|| PathAndQuery::from_static("/api"));
+        let (method, headers) = (head.method, onward(head.headers));
+        let cargo = Cargo { method, uri: path.into(), headers, body };
         serve(self, command, Rc::new(cargo)).await
     }
 
+    /// A body, or none if it is too large: then it is read on for a while all the same, as a connection that
+    /// is closed with something unread takes the answer with it.
+    async fn whole(&self, mut body: Incoming) -> Result<Option<Bytes>, hyper::Error> {
+        let (mut bytes, mut length) = (BytesMut::new(), 0);
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame?.into_data() else { continue };
+            length += data.len();
+            if length > self.limits.overlong_bytes {
+                break;
+            }
+            if length <= self.limits.body_bytes {
+                bytes.extend_from_slice(&data);
+            }
+        }
+        Ok((length <= self.limits.body_bytes).then(|| bytes.freeze()))
+    }
+
     /// The few fields that the decisions need.
     fn command(&self, method: &Method, headers: &HeaderMap) -> Result<Command, String> {
         let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
@@ -170,8 +184,8 @@
     }
 }
 
-/// A command's headers as they go on: all but those of the connection it came on.
-fn onward(mut headers: HeaderMap) -> HeaderMap {
+/// Headers as they go on: all but those of the connection they came on.
+pub fn onward(mut headers: HeaderMap) -> HeaderMap {
     let named: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
--- a/crates/node/src/launch.rs
+++ b/crates/node/src/launch.rs
@@ -1,13 +1,15 @@
 //! One launch: a command's bytes to one backend, and what came of it.
 
-use crate::desk::Clock;
+use crate::desk::Desk;
+use crate::intake::onward;
 use crate::limits::Limits;
+use crate::log::note;
 use crate::pool::{Lease, NoLease, Pool};
 use crate::probe;
 use crate::start::Names;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE};
+use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use std::convert::Infallible;
 use std::future::Future;
@@ -45,7 +47,7 @@
 
 /// A backend's answer, read whole.
 pub struct Answer {
-    pub content_type: Option<HeaderValue>,
+    pub headers: HeaderMap,
     pub body: Bytes,
 }
 
@@ -61,7 +63,7 @@
 #[derive(Clone)]
 pub struct Launcher {
     pub pool: Rc<Pool>,
-    pub clock: Clock,
+    pub desk: Rc<Desk>,
     pub limits: Rc<Limits>,
     pub names: Rc<Names>,
 }
@@ -77,7 +79,14 @@
 
     fn call(&mut self, launch: Launch) -> Self::Future {
         let launcher = self.clone();
-        Box::pin(async move { Ok(launcher.run(launch).await) })
+        Box::pin(async move {
+            let done = launcher.run(launch).await;
+            if !matches!(done.outcome, Outcome::Finished | Outcome::Full) {
+                let name = launcher.desk.name(done.backend);
+                note!("launch: {name}: {}", words(done.outcome));
+            }
+            Ok(done)
+        })
     }
 }
 
@@ -85,7 +94,7 @@
     async fn run(&self, launch: Launch) -> Done {
         let (number, backend) = (launch.number, launch.backend);
         let mut done = Done { number, backend, outcome: Outcome::Unsent, answer: None, report: Vec::new() };
-        let until = self.clock.instant(launch.ends);
+        let until = self.desk.clock.instant(launch.ends);
         let Some(address) = launch.address else { return done };
         loop {
             let lease = match timeout_at(until, self.pool.lease(backend, address)).await {
@@ -115,7 +124,7 @@
         *request.method_mut() = launch.cargo.method.clone();
         *request.uri_mut() = launch.cargo.uri.clone();
         *request.headers_mut() = launch.cargo.headers.clone();
-        let left = launch.ends.since(self.clock.now()).0 / 1000;
+        let left = launch.ends.since(self.desk.clock.now()).0 / 1000;
         request.headers_mut().insert(TIME_LEFT, HeaderValue::from(left));
         let response = match lease.sender.try_send_request(request).await {
             Ok(response) => response,
@@ -140,11 +149,27 @@
             _ => Outcome::Errored,
         };
         if done.outcome == Outcome::Finished {
-            done.answer = Some(Answer { content_type: head.headers.get(CONTENT_TYPE).cloned(), body });
+            let mut headers = onward(head.headers);
+            headers.remove(BACKEND_LOAD);
+            done.answer = Some(Answer { headers, body });
         }
     }
 }
 
+/// For the log, in the on-call page's words.
+fn words(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Finished => "finished",
+        Outcome::Full => "full or draining",
+        Outcome::Errored => "answered with an error",
+        Outcome::TimedOut => "no answer in the command's time",
+        Outcome::Unreachable => "no connection",
+        Outcome::Broken => "the connection broke while it was out",
+        Outcome::Cancelled => "called off",
+        Outcome::Unsent => "not sent: no time or no socket left for a connection",
+    }
+}
+
 enum Exchange {
     Unsent,
     Came(Response<Bytes>),
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -14,6 +14,8 @@
     pub client_sockets: usize,
     pub backend_sockets: usize,
     pub surplus_sockets: usize,
+    /// Of a body that is too large, what is still read, so that its client gets to see the answer.
+    pub overlong_bytes: usize,
     /// Connections that the kernel may hold until they are accepted.
     pub backlog: u32,
     pub dial: Duration,
@@ -26,6 +28,12 @@
     /// How long after the signal to stop connections are still accepted, and idle ones left open.
     pub accept_on: Duration,
     pub idle_on: Duration,
+    /// When the node ends even if a client still owes the rest of a command.
+    pub end_by: Duration,
+    /// How long the kernel's last connections are looked for.
+    pub last_look: Duration,
+    /// A connection without a command for so long is idle; before, its first may be on the way.
+    pub settle: Duration,
     /// How long a command may be in hand at most, whatever its client says.
     pub longest_command: Duration,
     pub notes_per_s: u32,
@@ -35,29 +43,34 @@
 const KEPT_BACK: usize = 64;
 
 impl Limits {
-    pub fn fill(sockets: usize, memory_mb: usize, dial: Duration, backend_idle: Duration) -> Limits {
+    pub fn fill(sockets: usize, memory_mb: usize, dial: Duration, idle: Duration, limit: Duration) -> Limits {
         let body_bytes = 64 << 10;
         let surplus_sockets = sockets / 16;
         let room = sockets.saturating_sub(KEPT_BACK + surplus_sockets).max(8);
-        // A command in hand may hold two bodies, a head each way and their buffers: half the memory at most.
-        let by_memory = (memory_mb << 20) / 2 / (4 * body_bytes);
+        // A command in hand may hold a body each way and as much in buffers: three quarters of the memory at most.
+        let by_memory = (memory_mb << 20) * 3 / 4 / (4 * body_bytes);
         // A command has one connection on either side; clients keep more of them idle than the pool does.
         let client_sockets = (room * 3 / 5).min(by_memory).max(4);
         Limits {
             head_bytes: 16 << 10,
             body_bytes,
             line_bytes: 4 << 20,
+            overlong_bytes: 1 << 20,
             client_sockets,
             backend_sockets: (room * 2 / 5).max(4),
             surplus_sockets,
             backlog: 1024,
             dial,
             // Whatever the way takes, and however late the node is: half of it is well before.
-            backend_idle: backend_idle / 2,
+            backend_idle: idle / 2,
             probe_wait: Duration::from_millis(50),
             beat_wait: Duration::from_millis(4300),
             accept_on: Duration::from_millis(500),
             idle_on: Duration::from_millis(600),
+            // A kill comes 700 ms after the longest time limit at the soonest.
+            end_by: Duration::from_millis(650) + limit,
+            last_look: Duration::from_millis(20),
+            settle: Duration::from_millis(100),
             longest_command: Duration::from_secs(600),
             notes_per_s: 5,
         }
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -35,7 +35,8 @@
 }
 
 fn number(entry: &Value, key: &str) -> Result<u64, String> {
-    entry.get(key).and_then(Value::as_u64).ok_or_else(|| format!("{key} is not a whole number"))
+    let n = entry.get(key).and_then(Value::as_f64).filter(|n| (0.0..1e15).contains(n));
+    n.map(|n| n as u64).ok_or_else(|| format!("{key} is not a number from 0 on"))
 }
 
 fn line(names: &Names, entry: &Value) -> Result<Line, String> {
@@ -46,14 +47,20 @@
         Some("gone") => State::Gone,
         _ => return Err("status is unknown".into()),
     };
-    if state == State::Gone {
-        // Nothing else of it matters, nor must be there.
-        let (zone, kind, group, started) = (ZoneId(0), KindId(0), GroupId(0), Moment(0));
-        return Ok(Line { name, address: None, zone, kind, group, state, started });
+    match whole_line(names, entry, &name, state) {
+        // Nothing new goes to it, whatever else its entry says or lacks.
+        Err(_) if state != State::Ready => {
+            let (zone, kind, group, started) = (ZoneId(0), KindId(0), GroupId(0), Moment(0));
+            Ok(Line { name, address: None, zone, kind, group, state: State::Gone, started })
+        }
+        line => line,
     }
+}
+
+fn whole_line(names: &Names, entry: &Value, name: &str, state: State) -> Result<Line, String> {
     let address = entry.get("address").and_then(Value::as_str).and_then(|a| a.parse().ok());
     Ok(Line {
-        name,
+        name: name.to_owned(),
         address: Some(address.ok_or("address is not an address with a port")?),
         zone: ZoneId(place(&names.zones, entry, "zone")? as u16),
         kind: KindId(place(&names.kinds, entry, "type")? as u8),
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -101,7 +101,8 @@
         }
     });
 
-    let launcher = launch::Launcher { pool, clock, limits: limits.clone(), names: names.clone() };
+    let launcher =
+        launch::Launcher { pool, desk: desk.clone(), limits: limits.clone(), names: names.clone() };
     note!("{}: listening on {}", start.name, start.listen);
     accept::accept(listener, Rc::new(intake::Node { desk, launcher, limits, names, effects, stop })).await;
     Ok(())
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -78,8 +78,8 @@
     /// The newest idle connection there that is still good, or a new one.
     pub async fn lease(&self, backend: BackendId, address: SocketAddr) -> Result<Lease, NoLease> {
         while let Some(mut lease) = self.newest(backend, address) {
-            // Ready at once, unless the backend has closed it meanwhile.
-            if lease.sender.ready().await.is_ok() {
+            // Ready at once, unless the backend has closed it meanwhile or has yet to read the last command.
+            if let Ok(Ok(())) = timeout(self.limits.dial, lease.sender.ready()).await {
                 return Ok(lease);
             }
         }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -4,7 +4,7 @@
 use crate::intake::{plain, Node, Reply};
 use crate::launch::{Answer, Cargo, Done, Launch};
 use http_body_util::Full;
-use hyper::header::{HeaderValue, CONTENT_TYPE, RETRY_AFTER};
+use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use std::rc::Rc;
 use tokio::sync::mpsc;
@@ -76,9 +76,7 @@
 
 fn finished(answer: Answer) -> Reply {
     let mut reply = Response::new(Full::new(answer.body));
-    if let Some(kind) = answer.content_type {
-        reply.headers_mut().insert(CONTENT_TYPE, kind);
-    }
+    *reply.headers_mut() = answer.headers;
     reply
 }
 
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -42,14 +42,13 @@
     text.parse().map_err(|_| format!("{path} is not an address with a port: {text}"))
 }
 
-fn count(value: &Value, path: &str) -> Result<usize, String> {
-    let n = at(value, path)?.as_u64().filter(|&n| n > 0 && n < 1 << 32);
-    n.map(|n| n as usize).ok_or_else(|| format!("{path} is not a whole number above 0"))
+fn number(value: &Value, path: &str) -> Result<f64, String> {
+    let n = at(value, path)?.as_f64().filter(|n| (1.0..1e15).contains(n));
+    n.ok_or_else(|| format!("{path} is not a number from 1 on"))
 }
 
 fn nanos(value: &Value, path: &str) -> Result<Duration, String> {
-    let n = at(value, path)?.as_u64().filter(|&n| n > 0);
-    n.map(Duration::from_nanos).ok_or_else(|| format!("{path} is not a time above 0"))
+    number(value, path).map(|n| Duration::from_nanos(n as u64))
 }
 
 /// The texts of a list, or of one key of its objects; none where there is no such list.
@@ -92,11 +91,13 @@
             customers: texts(&file, "settings.tenants", Some("name"))?,
             report: texts(&file, "settings.report.names", None)?,
         };
+        let longest = terms.profiles.iter().map(|p| p.time_limit).max().unwrap_or_default();
         let limits = Limits::fill(
-            count(&file, "limits.sockets")?,
-            count(&file, "limits.memory_mb")?,
+            number(&file, "limits.sockets")? as usize,
+            number(&file, "limits.memory_mb")? as usize,
             nanos(&file, "settings.limits.dialTimeout")?,
             nanos(&file, "settings.limits.connIdle")?,
+            Duration::from_micros(longest.0),
         );
         let known = file.get("known").filter(|k| !k.is_null()).cloned();
         Ok(Start { name, listen, discovery, seed, terms, names, limits, known })
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -55,4 +55,10 @@
         let at = self.asked().await + self.limits.idle_on;
         sleep_until(at).await;
     }
+
+    /// Over when nothing may be waited for any more.
+    pub async fn ended(&self) {
+        let at = self.asked().await + self.limits.end_by;
+        sleep_until(at).await;
+    }
 }
--- /dev/null
+++ b/crates/node/tests/sockets.rs
@@ -0,0 +1,532 @@
+//! The node as a process on loopback sockets, with toy backends and a toy discovery, as tables of cases.
+
+#[path = "../../../tests/help/mod.rs"]
+#[allow(dead_code)]
+mod help;
+
+use serde_json::{json, Value};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+use std::sync::{mpsc, Arc, Mutex};
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+/// A message as it was read: the first line, the headers in lower case, the body.
+#[derive(Clone, Debug, Default)]
+struct Message {
+    first: String,
+    head: Vec<(String, String)>,
+    body: Vec<u8>,
+}
+
+impl Message {
+    fn header(&self, name: &str) -> Option<&str> {
+        self.head.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+
+    fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+}
+
+/// The next message on a connection; none when it has ended.
+fn read(stream: &mut TcpStream) -> Option<Message> {
+    let (mut bytes, mut one) = (Vec::new(), [0]);
+    while !bytes.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut one).ok()? == 0 {
+            return None;
+        }
+        bytes.push(one[0]);
+    }
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let mut lines = text.lines();
+    let first = lines.next()?.to_owned();
+    let head = lines.filter_map(|l| l.split_once(": ").map(|(n, v)| (n.to_lowercase(), v.to_owned())));
+    let mut message = Message { first, head: head.collect(), body: Vec::new() };
+    let length = message.header("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+    message.body.resize(length, 0);
+    stream.read_exact(&mut message.body).ok()?;
+    Some(message)
+}
+
+/// What a backend does with a launch.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Act {
+    Finish,
+    Late,
+    Status(u16, &'static str),
+    Break,
+    HalfAnswer,
+    /// Answers, and closes the connection without having said so.
+    FinishAndClose,
+}
+
+const DONE: &str =
+    "HTTP/1.1 200 OK\r\nX-Kept: yes\r\nKeep-Alive: timeout=9\r\nContent-Length: 9\r\n\r\nfrom \x01\x02\r\n";
+
+fn act(act: Act, stream: &mut TcpStream) -> bool {
+    if act == Act::Late {
+        sleep(Duration::from_millis(150));
+    }
+    let text = match act {
+        Act::Finish | Act::Late | Act::FinishAndClose => DONE.to_owned(),
+        Act::Status(code, more) => format!("HTTP/1.1 {code} Odd\r\n{more}Content-Length: 0\r\n\r\n"),
+        Act::Break => String::new(),
+        Act::HalfAnswer => DONE[..DONE.len() - 4].to_owned(),
+    };
+    stream.write_all(text.as_bytes()).is_ok()
+        && !matches!(act, Act::Break | Act::HalfAnswer | Act::FinishAndClose)
+}
+
+/// All launches that any backend of a test has read, with the backend's number.
+type Launches = Arc<Mutex<Vec<(usize, Message)>>>;
+
+struct World {
+    node: Child,
+    listen: SocketAddr,
+    launches: Launches,
+    /// Lines for whoever watches the list.
+    list: mpsc::Sender<String>,
+    watches: Arc<AtomicUsize>,
+    entries: Vec<Value>,
+    folder: PathBuf,
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        let _ = self.node.kill();
+        let _ = self.node.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+static WORLDS: AtomicUsize = AtomicUsize::new(0);
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("its address")
+}
+
+fn settings() -> Value {
+    let mut settings = help::terms();
+    settings["balancers"] = 1.into();
+    settings["zones"] = json!(["here"]);
+    settings["flavors"] = json!(["small"]);
+    let names = ["read", "mark", "pay"];
+    let kinds = ["repeatable", "by_key", "once"];
+    let profile = |(name, kind): (&&str, &&str)| {
+        let mut profile = settings["profiles"][0].clone();
+        (profile["name"], profile["idempotency"]) = ((*name).into(), (*kind).into());
+        profile
+    };
+    let profiles: Vec<Value> = names.iter().zip(&kinds).map(profile).collect();
+    settings["profiles"] = profiles.into();
+    settings["limits"]["dialTimeout"] = 200_000_000.into();
+    settings["limits"]["connIdle"] = 30_000_000_000u64.into();
+    settings
+}
+
+fn start(config: &Value) -> (Child, PathBuf) {
+    let number = WORLDS.fetch_add(1, SeqCst);
+    let folder = std::env::temp_dir().join(format!("yarrowfront-test-{}-{number}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let file = folder.join("config.json");
+    std::fs::write(&file, config.to_string()).expect("a file");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_yarrowfront"));
+    command.env_clear().env("ROUTER_CONFIG", &file).stderr(Stdio::piped()).stdout(Stdio::null());
+    (command.spawn().expect("the node starts"), folder)
+}
+
+impl World {
+    /// So many backends, which act by the number of the launch over all of them.
+    fn new(backends: usize, acts: fn(usize) -> Act, change: fn(&mut Value)) -> World {
+        let launches: Launches = Arc::default();
+        let mut entries = Vec::new();
+        for number in 0..backends {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("a backend");
+            let address = listener.local_addr().expect("its address").to_string();
+            let launches = launches.clone();
+            spawn(move || {
+                for mut stream in listener.incoming().flatten() {
+                    let launches = launches.clone();
+                    spawn(move || {
+                        while let Some(message) = read(&mut stream) {
+                            let count = {
+                                let mut all = launches.lock().expect("launches");
+                                all.push((number, message));
+                                all.len() - 1
+                            };
+                            if !act(acts(count), &mut stream) {
+                                break;
+                            }
+                        }
+                    });
+                }
+            });
+            entries.push(
+                json!({"name": format!("b{number}"), "address": address, "zone": "here", "type": "small",
+                                "group": 1, "status": "ready", "weight": 1.0, "since_ms": 0}),
+            );
+        }
+        let (list, lines) = mpsc::channel::<String>();
+        let watches = Arc::new(AtomicUsize::new(0));
+        let discovery = TcpListener::bind("127.0.0.1:0").expect("discovery");
+        let (listen, told) = (free_address(), discovery.local_addr().expect("its address"));
+        let watched = watches.clone();
+        spawn(move || {
+            for mut stream in discovery.incoming().flatten() {
+                if read(&mut stream).is_none() {
+                    continue;
+                }
+                let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n";
+                let _ = stream.write_all(head.as_bytes());
+                watched.fetch_add(1, SeqCst);
+                // It says nothing by itself, as a cut network does; an empty text ends the watch.
+                while let Ok(line) = lines.recv_timeout(Duration::from_secs(6)) {
+                    let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+                    if line.is_empty() || stream.write_all(chunk.as_bytes()).is_err() {
+                        break;
+                    }
+                }
+            }
+        });
+        let mut config = json!({
+            "name": "n1", "listen": listen.to_string(), "discovery": told.to_string(), "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"index": 4, "snapshot": true, "endpoints": entries}, "settings": settings(),
+        });
+        change(&mut config);
+        let (node, folder) = start(&config);
+        let world = World { node, listen, launches, list, watches, entries, folder };
+        until("the node is up", || {
+            TcpStream::connect(listen).is_ok()
+                && world.ask("GET /up HTTP/1.1\r\nHost: n\r\n\r\n").status() == 200
+        });
+        world
+    }
+
+    fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.listen).expect("the node accepts");
+        stream.set_read_timeout(Some(Duration::from_secs(10))).expect("a limit");
+        stream
+    }
+
+    fn ask(&self, text: &str) -> Message {
+        let mut stream = self.connect();
+        stream.write_all(text.as_bytes()).expect("written");
+        read(&mut stream).unwrap_or_default()
+    }
+
+    fn command(&self, profile: &str) -> Message {
+        self.ask(&command(profile, "a body", ""))
+    }
+
+    fn launched(&self) -> usize {
+        self.launches.lock().expect("launches").len()
+    }
+}
+
+fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < Duration::from_secs(20), "waited in vain: {what}");
+        sleep(Duration::from_millis(10));
+    }
+}
+
+fn command(profile: &str, body: &str, more: &str) -> String {
+    format!(
+        "POST /api HTTP/1.1\r\nHost: o\r\nX-Correlation-Id: 9b1f\r\nX-Service-Class: {profile}\r\n\
+         X-Time-Left-Ms: 450\r\nIdempotency-Key: 5c0f\r\n{more}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// What is no command gets its own answer at once, and never reaches a backend.
+#[test]
+fn bad_input_is_refused() {
+    let world = World::new(1, |_| Act::Finish, |_| {});
+    let good = command("mark", "a body", "");
+    let without =
+        |name: &str| good.split("\r\n").filter(|l| !l.starts_with(name)).collect::<Vec<_>>().join("\r\n");
+    let big = command("mark", &"x".repeat((64 << 10) + 1), "");
+    let cases: &[(&str, String, u16)] = &[
+        ("as it should be", good.clone(), 200),
+        ("the largest body", command("mark", &"x".repeat(64 << 10), ""), 200),
+        ("unknown path", good.replace("/api", "/apis"), 404),
+        ("no id", without("X-Correlation-Id"), 400),
+        ("no profile", without("X-Service-Class"), 400),
+        ("unknown profile", command("steal", "", ""), 400),
+        ("no time left", without("X-Time-Left-Ms"), 400),
+        ("time left that is none", good.replace("450", "4.5e2"), 400),
+        ("less than no time", good.replace("450", "-450"), 400),
+        ("tagged without its tag", without("Idempotency-Key"), 400),
+        ("another method", good.replace("POST", "DELETE"), 400),
+        ("no HTTP", "open sesame\r\n\r\n".into(), 400),
+        (
+            "a head without end",
+            format!("GET /api HTTP/1.1\r\nX-Long: {}\r\n\r\n", "x".repeat(200 << 10)),
+            431,
+        ),
+        ("a body too large", big.clone(), 413),
+        (
+            "no length told",
+            big.replace("Content-Length: 65537", "Transfer-Encoding: chunked")
+                .replace("\r\n\r\n", "\r\n\r\n10001\r\n")
+                + "\r\n0\r\n\r\n",
+            413,
+        ),
+    ];
+    for (what, text, status) in cases {
+        let before = world.launched();
+        assert_eq!(world.ask(text).status(), *status, "{what}");
+        assert_eq!(world.launched() > before, *status == 200, "{what}");
+    }
+}
+
+/// Rule 2 on sockets: what an end of the first launch proves, and so what may follow, by profile.
+#[test]
+fn outcomes_of_a_launch() {
+    type Acts = fn(usize) -> Act;
+    let first: &[(&str, Acts, bool)] = &[
+        ("an error", |n| if n == 0 { Act::Status(500, "") } else { Act::Finish }, true),
+        ("full", |n| if n == 0 { Act::Status(503, "X-Unprocessed: 1\r\n") } else { Act::Finish }, false),
+        ("over", |n| if n == 0 { Act::Status(504, "X-Unprocessed: 1\r\n") } else { Act::Finish }, false),
+        ("503 that proves nothing", |n| if n == 0 { Act::Status(503, "") } else { Act::Finish }, true),
+        ("broken off", |n| if n == 0 { Act::Break } else { Act::Finish }, true),
+        ("half an answer", |n| if n == 0 { Act::HalfAnswer } else { Act::Finish }, true),
+    ];
+    for (what, acts, may_have_run) in first {
+        for (profile, repeats) in [("read", true), ("mark", true), ("pay", false)] {
+            let world = World::new(2, *acts, |_| {});
+            let again = repeats || !may_have_run;
+            let reply = world.command(profile);
+            assert_eq!(reply.status(), if again { 200 } else { 502 }, "{what}, {profile}");
+            assert_eq!(world.launched(), if again { 2 } else { 1 }, "{what}, {profile}");
+            // And whatever it was, the node goes on.
+            assert_eq!(world.command("pay").status(), 200, "{what}, {profile}");
+        }
+    }
+}
+
+/// A backend that nobody listens for was surely not reached: even a once-only command goes elsewhere.
+#[test]
+fn a_refused_connection_is_no_launch() {
+    let world = World::new(
+        1,
+        |_| Act::Finish,
+        |config| {
+            let entries = config["known"]["endpoints"].as_array_mut().expect("entries");
+            let mut dead = entries[0].clone();
+            (dead["name"], dead["address"]) = ("dead".into(), "127.0.0.1:9".into());
+            entries.push(dead);
+        },
+    );
+    for n in 1..=12 {
+        assert_eq!(world.command("pay").status(), 200);
+        assert_eq!(world.launched(), n);
+    }
+}
+
+/// A backend closes idle connections as it likes: what is surely unsent goes out on another, and only once.
+#[test]
+fn connections_closed_by_backends() {
+    let world = World::new(1, |_| Act::FinishAndClose, |_| {});
+    for n in 1..=20 {
+        assert_eq!(world.command("pay").status(), 200, "command {n}");
+        assert_eq!(world.launched(), n);
+        sleep(Duration::from_millis(5));
+    }
+}
+
+/// Bytes go through as they came, both ways; what belongs to one connection does not.
+#[test]
+fn bytes_and_headers_go_on() {
+    let world = World::new(1, |_| Act::Finish, |_| {});
+    let more = "X-Facts: a=1,b=2\r\nConnection: X-Mine, keep-alive\r\nX-Mine: 1\r\nTE: trailers\r\n";
+    let text = command("mark", "\u{1}\r\n\r\nbody", more).replace("/api", "/api/a%20b?obj=7&x=%2F");
+    let reply = world.ask(&text);
+    assert_eq!(reply.body, b"from \x01\x02\r\n");
+    assert_eq!((reply.header("x-kept"), reply.header("keep-alive")), (Some("yes"), None));
+    let launches = world.launches.lock().expect("launches");
+    let launch = &launches[0].1;
+    assert_eq!(launch.first, "POST /api/a%20b?obj=7&x=%2F HTTP/1.1");
+    assert_eq!(launch.body, "\u{1}\r\n\r\nbody".as_bytes());
+    for (name, value) in [
+        ("x-correlation-id", Some("9b1f")),
+        ("idempotency-key", Some("5c0f")),
+        ("x-facts", Some("a=1,b=2")),
+        ("x-mine", None),
+        ("te", None),
+    ] {
+        assert_eq!(launch.header(name), value, "{name}");
+    }
+    let left: u64 = launch.header("x-time-left-ms").and_then(|l| l.parse().ok()).expect("the time left");
+    assert!(left <= 450);
+}
+
+/// A client that goes leaves nothing behind: its launch runs on, and the node serves the next.
+#[test]
+fn clients_that_leave() {
+    let world = World::new(2, |_| Act::Late, |_| {});
+    for n in 1..=6 {
+        let mut stream = world.connect();
+        let text = command("pay", "a body", "");
+        // Every other one goes in the middle of its head.
+        let part = if n % 2 == 0 { 40 } else { text.len() };
+        stream.write_all(&text.as_bytes()[..part]).expect("written");
+        if n % 2 == 1 {
+            until("the launch is out", || world.launched() > n / 2);
+        }
+        drop(stream);
+        sleep(Duration::from_millis(200));
+    }
+    until("served again", || world.command("read").status() == 200);
+}
+
+/// Where nobody can serve, a turn-back comes at once, and says when to come again where that may be said.
+#[test]
+fn turned_back_with_a_time() {
+    for (allowed, said) in [(true, true), (false, false)] {
+        let world = match allowed {
+            true => World::new(0, |_| Act::Finish, |_| {}),
+            false => World::new(0, |_| Act::Finish, |c| c["settings"]["limits"]["retryAfter"] = false.into()),
+        };
+        let reply = world.command("pay");
+        assert_eq!(reply.status(), 503);
+        let after = reply.header("retry-after").map(|a| a.parse::<f64>().expect("seconds"));
+        assert_eq!(after.is_some_and(|a| a > 0.0 && a <= 2.0), said, "{after:?}");
+    }
+}
+
+/// Rule 3, and lines that no one can read: they are left out and the others count.
+#[test]
+fn lines_of_the_list() {
+    let world = World::new(2, |_| Act::Finish, |_| {});
+    until("a watch", || world.watches.load(SeqCst) == 1);
+    let entry = |n: usize, key: &str, value: Value| {
+        let mut entry = world.entries[n].clone();
+        entry[key] = value;
+        json!({"index": 9, "snapshot": false, "endpoints": [entry]}).to_string()
+    };
+    let lines = [
+        "not JSON".to_owned(),
+        "{}".to_owned(),
+        "[1,2]".to_owned(),
+        entry(0, "status", "asleep".into()),
+        entry(0, "address", "nowhere".into()),
+        entry(0, "zone", 7.into()),
+        json!({"index": 9, "snapshot": false, "endpoints": [7, {"name": "b1", "status": "draining"}]})
+            .to_string(),
+    ];
+    for line in lines {
+        world.list.send(line).expect("a watch");
+    }
+    // Its entry had a name and a state, no more: enough to send nothing there.
+    until("b1 drains", || {
+        let before = world.launched();
+        (0..8).all(|_| world.command("read").status() == 200)
+            && world.launches.lock().expect("launches")[before..].iter().all(|(n, _)| *n == 0)
+    });
+    world.list.send(entry(1, "status", "ready".into())).expect("a watch");
+    world.list.send(entry(0, "status", "gone".into())).expect("a watch");
+    until("b1 serves", || {
+        world.command("read").status() == 200
+            && world.launches.lock().expect("launches").last().map(|l| l.0) == Some(1)
+    });
+}
+
+/// A watch ends with its connection, or in silence when the network is cut; either way there is a new one.
+#[test]
+fn a_lost_watch_is_made_again() {
+    let world = World::new(1, |_| Act::Finish, |_| {});
+    until("a watch", || world.watches.load(SeqCst) == 1);
+    world.list.send(String::new()).expect("a watch");
+    until("a second one", || world.watches.load(SeqCst) == 2);
+    until("a third one, after silence", || world.watches.load(SeqCst) == 3);
+    assert_eq!(world.command("read").status(), 200);
+}
+
+/// A planned stop answers all that was taken, also on connections that come after the signal, and ends well.
+#[test]
+fn a_planned_stop_loses_nothing() {
+    let mut world = World::new(2, |_| Act::Late, |_| {});
+    let (mut early, mut kept) = (world.connect(), world.connect());
+    let text = command("pay", "a body", "");
+    early.write_all(text.as_bytes()).expect("written");
+    kept.write_all("GET /up HTTP/1.1\r\nHost: n\r\n\r\n".as_bytes()).expect("written");
+    assert_eq!(read(&mut kept).expect("an answer").status(), 200);
+    let pid = world.node.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill").success());
+    let mut late = world.connect();
+    // Half of a command that never comes whole must not hold the node up.
+    let mut half = world.connect();
+    half.write_all(&text.as_bytes()[..50]).expect("written");
+    sleep(Duration::from_millis(200));
+    assert_eq!(world.ask("GET /up HTTP/1.1\r\nHost: n\r\n\r\n").status(), 503);
+    for stream in [&mut late, &mut kept] {
+        stream.write_all(text.as_bytes()).expect("written");
+    }
+    for (what, mut stream) in [("early", early), ("late", late), ("kept", kept)] {
+        let reply = read(&mut stream).unwrap_or_default();
+        // Whether there is room for it is the module's to say; that it is answered whole is the node's.
+        assert!(reply.status() == 200 || reply.status() == 503 && what != "early", "{what}: {reply:?}");
+        assert_eq!(reply.header("connection"), Some("close"), "{what}");
+    }
+    assert!(world.node.wait().expect("an end").success());
+}
+
+/// With more connections than it may hold the node still reads each one that it has accepted.
+#[test]
+fn a_full_budget_leaves_nobody_unread() {
+    let world = World::new(1, |_| Act::Finish, |config| config["limits"]["sockets"] = 110.into());
+    // Half of them have had an answer, half have sent nothing yet.
+    let mut idle: Vec<TcpStream> = (0..60).map(|_| world.connect()).collect();
+    for stream in idle.iter_mut().step_by(2) {
+        let _ = stream.write_all(command("read", "", "").as_bytes());
+        let _ = read(stream);
+    }
+    for n in 0..60 {
+        let reply = world.command("read");
+        assert!(matches!(reply.status(), 200 | 503), "command {n}: {reply:?}");
+    }
+    until("there is room again", || world.command("read").status() == 200);
+}
+
+/// A bad start file ends the node with one line that names the key.
+#[test]
+fn bad_start_files() {
+    let good = json!({
+        "name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"index": 4, "snapshot": true, "endpoints": []}, "settings": settings(),
+    });
+    type Change = fn(&mut Value);
+    let cases: &[(&str, Change)] = &[
+        ("name", |c| c["name"] = Value::Null),
+        ("listen", |c| c["listen"] = "here".into()),
+        ("discovery", |c| c["discovery"] = 7.into()),
+        ("seed", |c| c["seed"] = "xyz".into()),
+        ("limits.sockets", |c| c["limits"]["sockets"] = "many".into()),
+        ("limits.memory_mb", |c| c["limits"] = json!({"sockets": 1024})),
+        ("settings", |c| c["settings"] = Value::Null),
+        ("settings.limits.connIdle", |c| c["settings"]["limits"]["connIdle"] = Value::Null),
+        ("profiles[1].idempotency", |c| c["settings"]["profiles"][1]["idempotency"] = "twice".into()),
+        ("settings.profiles[0].name", |c| c["settings"]["profiles"][0]["name"] = Value::Null),
+        ("settings.zones", |c| c["settings"]["zones"] = 7.into()),
+        ("known", |c| c["known"] = json!({"endpoints": 7})),
+    ];
+    for (key, change) in cases {
+        let mut config = good.clone();
+        change(&mut config);
+        let (child, folder) = start(&config);
+        let output = child.wait_with_output().expect("an end");
+        let _ = std::fs::remove_dir_all(folder);
+        let text = String::from_utf8_lossy(&output.stderr);
+        assert!(!output.status.success() && text.lines().count() == 1, "{key}: {text}");
+        assert!(text.contains(key), "{key}: {text}");
+    }
+}
