--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -86,7 +86,7 @@
             Ok((stream, _)) => welcome(stream, &guests, &node),
             Err(error) => {
                 note!("accept: {error}");
-                sleep(Duration::from_millis(5)).await;
+                sleep(node.limits.accept_pause).await;
             }
         }
     }
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -68,6 +68,7 @@
 
 pub struct Desk {
     pub clock: Clock,
+    tick: Duration,
     inner: RefCell<Inner>,
     errands: mpsc::UnboundedSender<Errand>,
     /// The module's own time to be asked has moved.
@@ -76,10 +77,15 @@
 }
 
 impl Desk {
-    pub fn new(module: Balancer, clock: Clock, errands: mpsc::UnboundedSender<Errand>) -> Desk {
+    pub fn new(
+        module: Balancer,
+        clock: Clock,
+        tick: Duration,
+        errands: mpsc::UnboundedSender<Errand>,
+    ) -> Desk {
         let (hands, ids) = (Slab::new(), HashMap::new());
         let inner = RefCell::new(Inner { module, hands, ids, addresses: Vec::new(), commands: 0 });
-        Desk { clock, inner, errands, moved: Notify::new(), told: Cell::new(false) }
+        Desk { clock, tick, inner, errands, moved: Notify::new(), told: Cell::new(false) }
     }
 
     /// One call of the module, and the errands that came of it.
@@ -110,9 +116,8 @@
         loop {
             let wait = self.inner.borrow().module.wait(self.clock.now(), None);
             match wait {
-                // The clock of the runtime counts in milliseconds: never a tighter loop than that.
                 Some(span) => {
-                    let pause = Duration::from_micros(span.0.max(1000));
+                    let pause = Duration::from_micros(span.0).max(self.tick);
                     tokio::select! {
                         () = tokio::time::sleep(pause) => self.ask(|_, _| ()),
                         () = self.moved.notified() => {}
@@ -166,7 +171,7 @@
         let inner = self.inner.borrow();
         let command = &inner.hands[hand.0 as usize].command;
         let span = inner.module.wait(self.clock.now(), Some(command))?;
-        Some(Duration::from_micros(span.0.max(1000)))
+        Some(Duration::from_micros(span.0).max(self.tick))
     }
 
     /// The number of a command's last launch.
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -4,6 +4,7 @@
 use crate::desk::Desk;
 use crate::launch::{Cargo, Launcher, TIME_LEFT};
 use crate::limits::Limits;
+use crate::log::note;
 use crate::serve::serve;
 use crate::start::Names;
 use crate::stop::Stop;
@@ -168,12 +169,15 @@
         let left = text(TIME_LEFT).ok_or_else(|| format!("{TIME_LEFT} is missing"))?;
         let left: u64 = left.parse().map_err(|_| format!("{TIME_LEFT} is not whole milliseconds"))?;
         let left = Duration::from_millis(left).min(self.limits.longest_command);
-        let customer = text(CUSTOMER).and_then(|c| self.names.customers.iter().position(|n| n == c));
-        let customer = match customer {
-            Some(n) => CustomerId(n as u32),
-            None if self.names.customers.is_empty() => CustomerId(0),
-            // Of no customer that is known: it counts against nobody's quota.
-            None => CustomerId(u32::MAX),
+        let customer = match text(CUSTOMER) {
+            _ if self.names.customers.is_empty() => CustomerId(0),
+            account => match self.names.customers.iter().position(|n| Some(n.as_str()) == account) {
+                Some(n) => CustomerId(n as u32),
+                None => {
+                    note!("intake: {CUSTOMER} {account:?} is unknown: counted against nobody's quota");
+                    CustomerId(u32::MAX)
+                }
+            },
         };
         let (now, profile) = (self.desk.clock.now(), ProfileId(profile as u16));
         let mut command = Command::new(CommandId(0), profile, customer, now, Span(left.as_micros() as u64));
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -36,6 +36,12 @@
     pub settle: Duration,
     /// How long a command may be in hand at most, whatever its client says.
     pub longest_command: Duration,
+    /// Between two looks for idle connections to close.
+    pub sweep: Duration,
+    /// After an accept that failed: what it lacked comes back, if at all, in its own time.
+    pub accept_pause: Duration,
+    /// The runtime's clock counts in these: no timer is tighter.
+    pub tick: Duration,
     pub notes_per_s: u32,
 }
 
@@ -72,6 +78,9 @@
             last_look: Duration::from_millis(20),
             settle: Duration::from_millis(100),
             longest_command: Duration::from_secs(600),
+            sweep: Duration::from_secs(1),
+            accept_pause: Duration::from_millis(5),
+            tick: Duration::from_millis(1),
             notes_per_s: 5,
         }
     }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -18,7 +18,6 @@
 use crate::log::note;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task::{spawn_local, LocalSet};
 use yarrowfront::decide::{Balancer, Errand};
@@ -46,7 +45,8 @@
     let effects = start.terms.profiles.iter().map(|p| p.effect).collect();
     let must_ask = start.terms.must_ask;
     let (errand, mut errands) = mpsc::unbounded_channel();
-    let desk = Rc::new(Desk::new(Balancer::new(start.terms, start.seed, clock.now()), clock, errand));
+    let module = Balancer::new(start.terms, start.seed, clock.now());
+    let desk = Rc::new(Desk::new(module, clock, limits.tick, errand));
     let pool = Rc::new(pool::Pool::new(limits.clone()));
 
     let mut lister = list::Lister {
@@ -87,10 +87,10 @@
         }
     });
     spawn_local(async move { kept.upkeep().await });
-    let (swept, addresses) = (pool.clone(), desk.clone());
+    let (swept, addresses, pause) = (pool.clone(), desk.clone(), limits.sweep);
     spawn_local(async move {
         loop {
-            tokio::time::sleep(Duration::from_secs(1)).await;
+            tokio::time::sleep(pause).await;
             swept.sweep(|backend| addresses.address(backend));
         }
     });
--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -65,7 +65,7 @@
             let mut lease = self.pool.lease(backend, address).await.ok()?;
             let mut request = Request::new(Full::new(Bytes::new()));
             *request.uri_mut() = hyper::Uri::from_static("/metrics/load");
-            request.headers_mut().insert(HOST, HeaderValue::from_static("origin.svc"));
+            request.headers_mut().insert(HOST, HeaderValue::from_str(&address.to_string()).ok()?);
             let response = match lease.sender.try_send_request(request).await {
                 Ok(response) => response,
                 Err(error) if error.message().is_some() && !lease.fresh => continue,
