--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -84,12 +84,10 @@
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
         let Intake { node, guest } = self.clone();
         Box::pin(async move {
-            let busy = guest.busy();
             let mut reply = node.answer(&guest, request).await;
             if guest.surplus || node.stop.stopping() {
                 reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
-            drop(busy);
             Ok(reply)
         })
     }
@@ -114,12 +112,14 @@
         };
         let left = command.ends.since(command.arrived);
         let (head, body) = request.into_parts();
-        let body = match timeout(Duration::from_micros(left.0), self.whole(body)).await {
+        let body = match timeout(self.limits.body_wait, self.whole(body)).await {
             Ok(Ok(Some(body))) => body,
             Ok(Ok(None)) => return plain(StatusCode::PAYLOAD_TOO_LARGE, "body too large"),
             Ok(Err(_)) => return plain(StatusCode::BAD_REQUEST, "body broken off"),
             Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "body not here in time"),
         };
+        // Taken from here on: now nothing closes its connection before its answer is out.
+        let _busy = guest.busy();
         if guest.surplus {
             // It was never launched: a turn-back is true.
             return plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections");
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -19,6 +19,8 @@
     /// Connections that the kernel may hold until they are accepted.
     pub backlog: u32,
     pub dial: Duration,
+    /// How long a pooled connection may take to be ready: it has only to notice that its last answer is over.
+    pub ready_wait: Duration,
     /// How long a connection to a backend may stand idle.
     pub backend_idle: Duration,
     /// A probe's answer: it comes beside the queue, so in about a trip.
@@ -34,6 +36,8 @@
     pub last_look: Duration,
     /// A connection without a command for so long is idle; before, its first may be on the way.
     pub settle: Duration,
+    /// How long a body may take to come: it has no time limit of its own until its last byte.
+    pub body_wait: Duration,
     /// How long a command may be in hand at most, whatever its client says.
     pub longest_command: Duration,
     /// Between two looks for idle connections to close.
@@ -67,6 +71,7 @@
             surplus_sockets,
             backlog: 1024,
             dial,
+            ready_wait: Duration::from_millis(20),
             // Whatever the way takes, and however late the node is: half of it is well before.
             backend_idle: idle / 2,
             probe_wait: Duration::from_millis(50),
@@ -77,6 +82,7 @@
             end_by: Duration::from_millis(650) + limit,
             last_look: Duration::from_millis(20),
             settle: Duration::from_millis(100),
+            body_wait: Duration::from_secs(10),
             longest_command: Duration::from_secs(600),
             sweep: Duration::from_secs(1),
             accept_pause: Duration::from_millis(5),
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -79,7 +79,7 @@
     pub async fn lease(&self, backend: BackendId, address: SocketAddr) -> Result<Lease, NoLease> {
         while let Some(mut lease) = self.newest(backend, address) {
             // Ready at once, unless the backend has closed it meanwhile or has yet to read the last command.
-            if let Ok(Ok(())) = timeout(self.limits.dial, lease.sender.ready()).await {
+            if let Ok(Ok(())) = timeout(self.limits.ready_wait, lease.sender.ready()).await {
                 return Ok(lease);
             }
         }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,7 +5,7 @@
 //! again, for a command or for the node itself). Facts are told through `list`, `report` and `dropped`.
 //! What the node wants besides (probes, list calls, asking a held command again) comes out of
 //! `errand` as plain values. Nothing here blocks, reads a clock or touches a socket; a second protocol would
-//! use the same calls. The interface is young and may change until a node on sockets uses it.
+//! use the same calls. The interface stands: the node on sockets and the simulator's adapter share it.
 
 use crate::command::{Command, Fate, Launch, Outcome, MOST_LAUNCHES};
 use crate::ids::{BackendId, GroupId, Hand, KindId, ZoneId};
