--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -142,10 +142,12 @@
         let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
         loop {
             tokio::select! {
+                // First what has come on it: a command that is read by now is answered before the end.
+                biased;
                 // A client that goes ends it: whatever was in hand is dropped and told to the module.
                 _ = connection.as_mut() => break,
                 () = guest.close.notified() => connection.as_mut().graceful_shutdown(),
-                () = sleep(settle), if guest.evicted.get() && guest.commands.get() == 0 => break,
+                () = sleep(settle), if guest.evicted.get() => if guest.commands.get() == 0 { break },
             }
         }
         guests.here.borrow_mut().remove(key);
