--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -82,3 +82,28 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::report;
+
+    /// Reports name their fields as the sockets do, the settings as the simulator does: read by the wrong names a
+    /// node would go by none. What is not a whole report counts for nothing.
+    #[test]
+    fn reports_in_either_words() {
+        let names = ["outstanding", "backlog", "utilization"].map(String::from);
+        let cases: [(&str, Option<[f32; 3]>); 8] = [
+            (r#"{"inflight":7,"queue":2,"util":0.5}"#, Some([7.0, 2.0, 0.5])),
+            (r#"{"util":0.5,"queue":2,"inflight":7,"more":[]}"#, Some([7.0, 2.0, 0.5])),
+            (r#"{"outstanding":7,"backlog":2,"utilization":0.5}"#, Some([7.0, 2.0, 0.5])),
+            (r#"{"inflight":7,"util":0.5}"#, None),
+            (r#"{"inflight":-7,"queue":2,"util":0.5}"#, None),
+            (r#"{"inflight":"7","queue":2,"util":0.5}"#, None),
+            ("[7,2,0.5]", None),
+            ("busy", None),
+        ];
+        for (text, values) in cases {
+            assert_eq!(report(&names, text.as_bytes()), values.map(Vec::from), "{text}");
+        }
+    }
+}
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -65,6 +65,9 @@
 const DONE: &str =
     "HTTP/1.1 200 OK\r\nX-Kept: yes\r\nKeep-Alive: timeout=9\r\nContent-Length: 9\r\n\r\nfrom \x01\x02\r\n";
 
+/// What every backend says to a probe.
+const LOAD: &str = r#"{"inflight":0,"queue":0,"util":0.1}"#;
+
 fn act(act: Act, stream: &mut TcpStream) -> bool {
     if act == Act::Late {
         sleep(Duration::from_millis(150));
@@ -86,6 +89,7 @@
     node: Child,
     listen: SocketAddr,
     launches: Launches,
+    probes: Arc<Mutex<Vec<Message>>>,
     /// Lines for whoever watches the list.
     list: mpsc::Sender<String>,
     watches: Arc<AtomicUsize>,
@@ -150,15 +154,23 @@
     /// So many backends, which act by the number of the launch over all of them.
     fn new(backends: usize, acts: fn(usize) -> Act, change: fn(&mut Value)) -> World {
         let (launches, own): (Launches, String) = (Arc::default(), own_address());
+        let probes: Arc<Mutex<Vec<Message>>> = Arc::default();
         let mut entries = Vec::new();
         for number in 0..backends {
             let (listener, address) = listener(&own);
-            let launches = launches.clone();
+            let (launches, probes) = (launches.clone(), probes.clone());
             spawn(move || {
                 for mut stream in listener.incoming().flatten() {
-                    let launches = launches.clone();
+                    let (launches, probes) = (launches.clone(), probes.clone());
                     spawn(move || {
                         while let Some(message) = read(&mut stream) {
+                            if message.first.starts_with("GET /metrics/load ") {
+                                probes.lock().expect("probes").push(message);
+                                let head =
+                                    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", LOAD.len());
+                                let _ = stream.write_all((head + LOAD).as_bytes());
+                                continue;
+                            }
                             let count = {
                                 let mut all = launches.lock().expect("launches");
                                 all.push((number, message));
@@ -209,7 +221,7 @@
         let mut line = String::new();
         log.read_line(&mut line).expect("a line");
         assert!(line.contains("listening on"), "the node does not come up: {line}");
-        let world = World { node, listen, launches, list, watches, entries, folder, _log: log };
+        let world = World { node, listen, launches, probes, list, watches, entries, folder, _log: log };
         assert_eq!(world.ask("GET /up HTTP/1.1\r\nHost: n\r\n\r\n").status(), 200);
         world
     }
@@ -393,6 +405,28 @@
     until("served again", || world.command("read").status() == 200);
 }
 
+/// Where the settings allow it the module's probes go out and come back, and none looks like a command.
+#[test]
+fn probes_go_out() {
+    let world = World::new(
+        3,
+        |_| Act::Finish,
+        |config| {
+            let settings = &mut config["settings"];
+            settings["balancers"] = 4.into();
+            settings["limits"]["mayProbe"] = true.into();
+            settings["report"] = json!({"how": "pull", "names": ["outstanding", "backlog", "utilization"]});
+            settings["penalties"] = json!({"probe": 0.002});
+        },
+    );
+    for n in 0..6 {
+        assert_eq!(world.command("read").status(), 200, "command {n}");
+    }
+    let probes = world.probes.lock().expect("probes");
+    assert!(!probes.is_empty());
+    assert!(probes.iter().all(|p| p.header("x-correlation-id").is_none()), "{probes:?}");
+}
+
 /// Where nobody can serve, a turn-back comes at once, and says when to come again where that may be said.
 #[test]
 fn turned_back_with_a_time() {
