--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -103,8 +103,18 @@
         }
     }
     // What the kernel holds has been accepted as far as its client can tell.
-    while let Ok(Ok((stream, _))) = timeout(node.limits.last_look, listener.accept()).await {
-        welcome(stream, &guests, &node);
+    let mut idle = pin!(node.stop.idle());
+    loop {
+        let accepted = tokio::select! {
+            accepted = timeout(node.limits.last_look, listener.accept()) => accepted,
+            () = &mut idle => break,
+        };
+        match accepted {
+            Ok(Ok((stream, _))) => welcome(stream, &guests, &node),
+            // Descriptors may be short just now: nobody is left behind for that.
+            Ok(Err(_)) => sleep(node.limits.accept_pause).await,
+            Err(_) => break,
+        }
     }
     drop(listener);
     node.stop.idle().await;
@@ -155,8 +165,8 @@
     });
 }
 
-/// Closes the connection that has been idle for longest, if any is. One that has just come is not idle: it would
-/// be closed with its first command unread.
+/// Closes the connection that has been idle for longest, if any is. One that has just come is not idle: it
+/// would be closed with its first command unread.
 fn close_idle(guests: &Slab<Rc<Guest>>, settle: Duration) {
     let idle = guests.iter().map(|(_, g)| g).filter(|g| g.commands.get() == 0);
     let idle = idle.filter(|g| g.idle_since.get().elapsed() >= settle);
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -58,7 +58,7 @@
         let body_bytes = 64 << 10;
         let surplus_sockets = sockets / 16;
         let room = sockets.saturating_sub(KEPT_BACK + surplus_sockets).max(8);
-        // A command in hand may hold a body each way and as much in buffers: three quarters of the memory at most.
+        // A command may hold a body each way and as much in buffers: three quarters of the memory at most.
         let by_memory = (memory_mb << 20) * 3 / 4 / (4 * body_bytes);
         // A command has one connection on either side; clients keep more of them idle than the pool does.
         let client_sockets = (room * 3 / 5).min(by_memory).max(4);
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -1,5 +1,5 @@
-//! Connections to backends: the newest idle one first, a new one where there is none, and no more of them than
-//! the budget allows.
+//! Connections to backends: the newest idle one first, a new one where there is none, and no more of them
+//! than the budget allows.
 
 use crate::limits::Limits;
 use bytes::Bytes;
--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -87,8 +87,8 @@
 mod tests {
     use super::report;
 
-    /// Reports name their fields as the sockets do, the settings as the simulator does: read by the wrong names a
-    /// node would go by none. What is not a whole report counts for nothing.
+    /// Reports name their fields as the sockets do, the settings as the simulator does: by the wrong names
+    /// a node would go by none. What is not a whole report counts for nothing.
     #[test]
     fn reports_in_either_words() {
         let names = ["outstanding", "backlog", "utilization"].map(String::from);
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -108,8 +108,8 @@
 
 static WORLDS: AtomicUsize = AtomicUsize::new(0);
 
-/// A loopback address of its own for each node and its surroundings: ports that are free for a moment only must
-/// not be taken by another test.
+/// A loopback address of its own for each node and its surroundings: ports that are free for a moment only
+/// must not be taken by another test.
 fn own_address() -> String {
     let (number, process) = (WORLDS.fetch_add(1, SeqCst), std::process::id());
     format!("127.{}.{}.{}", 16 + process / 250 % 200, 1 + process % 250, 1 + number % 250)
@@ -184,7 +184,8 @@
                 }
             });
             entries.push(
-                json!({"name": format!("b{number}"), "address": address.to_string(), "zone": "here", "type": "small",
+                json!({"name": format!("b{number}"), "address": address.to_string(), "zone": "here",
+                "type": "small",
                                 "group": 1, "status": "ready", "weight": 1.0, "since_ms": 0}),
             );
         }
@@ -211,7 +212,8 @@
             }
         });
         let mut config = json!({
-            "name": "n1", "listen": listen.to_string(), "discovery": told.to_string(), "seed": "8c1f30d27a5be964",
+            "name": "n1", "listen": listen.to_string(), "discovery": told.to_string(),
+            "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": {"index": 4, "snapshot": true, "endpoints": entries}, "settings": settings(),
         });
--- a/example/toy/src/main.rs
+++ b/example/toy/src/main.rs
@@ -1,5 +1,5 @@
-//! Toy backends and a toy discovery, to try the node by hand: see the README beside it. The backends are those
-//! that the node's configuration knows; lines typed on standard input change what they do.
+//! Toy backends and a toy discovery, to try the node by hand: see the README beside it. The backends are
+//! those that the node's configuration knows; lines typed on standard input change what they do.
 #![forbid(unsafe_code)]
 
 use serde_json::{json, Value};
