--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -32,7 +32,7 @@
     match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
-            eprintln!("yarrowfront: {text}");
+            note!("yarrowfront: {text}");
             ExitCode::FAILURE
         }
     }
