Say once what launches and probes share, and what the list and the module do

From a last reading of the whole change; behaviour is meant to be the same, tests keep their assertions. - pool.rs has the one exchange (send, what surely was not written, the whole answer, give back); launch.rs and probe.rs each had their own.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -81,7 +81,7 @@
 pub async fn accept(listener: TcpListener, node: Rc<Node>) {
     let guests = Rc::new(Guests::default());
     let most = node.limits.client_sockets + node.limits.surplus_sockets;
-    let mut over = pin!(node.stop.accepted());
+    let mut over = pin!(node.stop.past(node.limits.accept_on));
     loop {
         let held = guests.here.borrow().len();
         if held >= most {
@@ -103,7 +103,7 @@
         }
     }
     // What the kernel holds has been accepted as far as its client can tell.
-    let mut idle = pin!(node.stop.idle());
+    let mut idle = pin!(node.stop.past(node.limits.idle_on));
     loop {
         let accepted = tokio::select! {
             accepted = timeout(node.limits.last_look, listener.accept()) => accepted,
@@ -117,7 +117,7 @@
         }
     }
     drop(listener);
-    node.stop.idle().await;
+    node.stop.past(node.limits.idle_on).await;
     for (_, guest) in guests.here.borrow().iter() {
         guest.close.notify_one();
     }
@@ -128,7 +128,9 @@
     };
     tokio::select! {
         () = gone => {}
-        () = node.stop.ended() => note!("stop: {} connections still open", guests.here.borrow().len()),
+        () = node.stop.past(node.limits.end_by) => {
+            note!("stop: {} connections still open", guests.here.borrow().len());
+        }
     }
 }
 
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -11,8 +11,8 @@
 use tokio::sync::{mpsc, Notify};
 use tokio::time::Instant;
 use yarrowfront::command::{Command, Outcome};
-use yarrowfront::decide::{Balancer, Errand, ListKind, Listed, Say, State};
-use yarrowfront::ids::{BackendId, CommandId, GroupId, Hand, KindId, ZoneId};
+use yarrowfront::decide::{Balancer, Errand, ListKind, Listed, Say};
+use yarrowfront::ids::{BackendId, CommandId, Hand};
 use yarrowfront::times::{Moment, Span};
 
 /// Unix time at start and a monotonic clock from there: a list's start times compare, and nothing runs back.
@@ -37,17 +37,8 @@
     }
 }
 
-/// A line of the list, by names.
-pub struct Line {
-    pub name: String,
-    /// None for a backend that is gone: nobody goes there.
-    pub address: Option<SocketAddr>,
-    pub zone: ZoneId,
-    pub kind: KindId,
-    pub group: GroupId,
-    pub state: State,
-    pub started: Moment,
-}
+/// A line of the list as the module takes it, and where that backend is; none for one that is gone.
+pub type Line = (Listed, Option<SocketAddr>);
 
 struct InHand {
     command: Command,
@@ -114,15 +105,12 @@
     /// Asks for errands whenever the module's own time has come.
     pub async fn upkeep(&self) {
         loop {
-            let wait = self.inner.borrow().module.wait(self.clock.now(), None);
-            match wait {
-                Some(span) => {
-                    let pause = Duration::from_micros(span.0).max(self.tick);
-                    tokio::select! {
-                        () = tokio::time::sleep(pause) => self.ask(|_, _| ()),
-                        () = self.moved.notified() => {}
-                    }
-                }
+            let pause = self.pause(&self.inner.borrow(), None);
+            match pause {
+                Some(pause) => tokio::select! {
+                    () = tokio::time::sleep(pause) => self.ask(|_, _| ()),
+                    () = self.moved.notified() => {}
+                },
                 None => self.moved.notified().await,
             }
         }
@@ -169,8 +157,12 @@
 
     pub fn wait(&self, hand: Hand) -> Option<Duration> {
         let inner = self.inner.borrow();
-        let command = &inner.hands[hand.0 as usize].command;
-        let span = inner.module.wait(self.clock.now(), Some(command))?;
+        self.pause(&inner, Some(&inner.hands[hand.0 as usize].command))
+    }
+
+    /// The module's time to be asked again, for a command or for the node, as the runtime can keep it.
+    fn pause(&self, inner: &Inner, command: Option<&Command>) -> Option<Duration> {
+        let span = inner.module.wait(self.clock.now(), command)?;
         Some(Duration::from_micros(span.0).max(self.tick))
     }
 
@@ -189,8 +181,10 @@
             if kind == ListKind::Whole || kind == ListKind::Cached {
                 inner.addresses.fill(None);
             }
-            let listed: Vec<_> = lines.iter().map(|line| inner.listed(line)).collect();
-            inner.module.list(now, kind, listed.into_iter());
+            for (listed, address) in lines {
+                inner.addresses[listed.backend.0 as usize] = *address;
+            }
+            inner.module.list(now, kind, lines.iter().map(|(listed, _)| *listed));
         });
         if kind != ListKind::Failed {
             self.told.set(true);
@@ -202,6 +196,18 @@
         self.told.get()
     }
 
+    /// The id of the backend that discovery calls so, a new one for a new name.
+    pub fn id(&self, name: &str) -> BackendId {
+        let inner = &mut *self.inner.borrow_mut();
+        if let Some(&id) = inner.ids.get(name) {
+            return id;
+        }
+        let id = BackendId(inner.addresses.len() as u32);
+        inner.ids.insert(name.to_owned(), id);
+        inner.addresses.push(None);
+        id
+    }
+
     /// What discovery calls it, for the log.
     pub fn name(&self, backend: BackendId) -> String {
         let inner = self.inner.borrow();
@@ -221,25 +227,4 @@
             self.hands.remove(key);
         }
     }
-
-    fn listed(&mut self, line: &Line) -> Listed {
-        let backend = match self.ids.get(&line.name) {
-            Some(&id) => id,
-            None => {
-                let id = BackendId(self.addresses.len() as u32);
-                self.ids.insert(line.name.clone(), id);
-                self.addresses.push(None);
-                id
-            }
-        };
-        self.addresses[backend.0 as usize] = line.address;
-        Listed {
-            backend,
-            zone: line.zone,
-            kind: line.kind,
-            group: line.group,
-            state: line.state,
-            started: line.started,
-        }
-    }
 }
--- a/crates/node/src/launch.rs
+++ b/crates/node/src/launch.rs
@@ -2,13 +2,12 @@
 
 use crate::desk::Desk;
 use crate::intake::onward;
-use crate::limits::Limits;
 use crate::log::note;
-use crate::pool::{Lease, NoLease, Pool};
+use crate::pool::{Exchange, NoLease, Pool};
 use crate::probe;
 use crate::start::Names;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use std::convert::Infallible;
@@ -25,7 +24,7 @@
 
 pub const TIME_LEFT: &str = "x-time-left-ms";
 const UNPROCESSED: &str = "x-unprocessed";
-pub const BACKEND_LOAD: &str = "x-backend-load";
+const BACKEND_LOAD: &str = "x-backend-load";
 
 /// What goes on of a command, as it came.
 pub struct Cargo {
@@ -35,7 +34,6 @@
     pub body: Bytes,
 }
 
-#[derive(Clone)]
 pub struct Launch {
     pub cargo: Rc<Cargo>,
     pub number: u8,
@@ -64,7 +62,6 @@
 pub struct Launcher {
     pub pool: Rc<Pool>,
     pub desk: Rc<Desk>,
-    pub limits: Rc<Limits>,
     pub names: Rc<Names>,
 }
 
@@ -106,35 +103,27 @@
                 // No socket for it, or the client's time ran out while one was opened: nobody is to blame.
                 Ok(Err(NoLease::Full)) | Err(_) => return done,
             };
-            let fresh = lease.fresh;
-            match timeout_at(until, self.exchange(&launch, lease)).await {
-                Ok(Some(Exchange::Unsent)) if !fresh => continue,
-                Ok(Some(Exchange::Unsent)) => done.outcome = Outcome::Unreachable,
-                Ok(Some(Exchange::Came(response))) => self.read(&mut done, response),
-                Ok(None) => done.outcome = Outcome::Broken,
+            let exchange = self.pool.exchange(backend, lease, self.request(&launch));
+            match timeout_at(until, exchange).await {
+                Ok(Exchange::Stale) => continue,
+                Ok(Exchange::Came(response)) => self.read(&mut done, response),
+                Ok(Exchange::Unreachable) => done.outcome = Outcome::Unreachable,
+                Ok(Exchange::Broken) => done.outcome = Outcome::Broken,
                 Err(_) => done.outcome = Outcome::TimedOut,
             }
             return done;
         }
     }
 
-    /// Sends the command and reads the whole answer; none if that broke off, so that it may have run.
-    async fn exchange(&self, launch: &Launch, mut lease: Lease) -> Option<Exchange> {
+    /// The command as it came, but for the time that it still has.
+    fn request(&self, launch: &Launch) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(launch.cargo.body.clone()));
         *request.method_mut() = launch.cargo.method.clone();
         *request.uri_mut() = launch.cargo.uri.clone();
         *request.headers_mut() = launch.cargo.headers.clone();
         let left = launch.ends.since(self.desk.clock.now()).0 / 1000;
         request.headers_mut().insert(TIME_LEFT, HeaderValue::from(left));
-        let response = match lease.sender.try_send_request(request).await {
-            Ok(response) => response,
-            // Only a request that comes back was surely never written.
-            Err(mut error) => return error.take_message().map(|_| Exchange::Unsent),
-        };
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, self.limits.body_bytes).collect().await.ok()?.to_bytes();
-        self.pool.give_back(launch.backend, lease);
-        Some(Exchange::Came(Response::from_parts(head, body)))
+        request
     }
 
     fn read(&self, done: &mut Done, response: Response<Bytes>) {
@@ -169,8 +158,3 @@
         Outcome::Unsent => "not sent: no time or no socket left for a connection",
     }
 }
-
-enum Exchange {
-    Unsent,
-    Came(Response<Bytes>),
-}
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-#[derive(Clone, Debug)]
 pub struct Limits {
     /// The head of a command or an answer.
     pub head_bytes: usize,
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{timeout, timeout_at, Instant};
-use yarrowfront::decide::{ListKind, State};
+use yarrowfront::decide::{ListKind, Listed, State};
 use yarrowfront::ids::{GroupId, KindId, ZoneId};
 use yarrowfront::times::Moment;
 
@@ -39,37 +39,6 @@
     n.map(|n| n as u64).ok_or_else(|| format!("{key} is not a number from 0 on"))
 }
 
-fn line(names: &Names, entry: &Value) -> Result<Line, String> {
-    let name = entry.get("name").and_then(Value::as_str).ok_or("name is not a text")?.to_owned();
-    let state = match entry.get("status").and_then(Value::as_str) {
-        Some("ready") => State::Ready,
-        Some("draining") => State::Draining,
-        Some("gone") => State::Gone,
-        _ => return Err("status is unknown".into()),
-    };
-    match whole_line(names, entry, &name, state) {
-        // Nothing new goes to it, whatever else its entry says or lacks.
-        Err(_) if state != State::Ready => {
-            let (zone, kind, group, started) = (ZoneId(0), KindId(0), GroupId(0), Moment(0));
-            Ok(Line { name, address: None, zone, kind, group, state: State::Gone, started })
-        }
-        line => line,
-    }
-}
-
-fn whole_line(names: &Names, entry: &Value, name: &str, state: State) -> Result<Line, String> {
-    let address = entry.get("address").and_then(Value::as_str).and_then(|a| a.parse().ok());
-    Ok(Line {
-        name: name.to_owned(),
-        address: Some(address.ok_or("address is not an address with a port")?),
-        zone: ZoneId(place(&names.zones, entry, "zone")? as u16),
-        kind: KindId(place(&names.kinds, entry, "type")? as u8),
-        group: GroupId(number(entry, "group")? as u16),
-        state,
-        started: Moment(number(entry, "since_ms")?.saturating_mul(1000)),
-    })
-}
-
 impl Lister {
     /// One message of discovery. A bad entry is left out, the others count.
     pub fn told(&mut self, message: &Value, cached: bool) -> Result<(), String> {
@@ -77,7 +46,7 @@
         let whole = message.get("snapshot").and_then(Value::as_bool).unwrap_or(false);
         let mut lines = Vec::with_capacity(entries.len());
         for entry in entries {
-            match line(&self.names, entry) {
+            match self.line(entry) {
                 Ok(line) => lines.push(line),
                 Err(why) => note!("list: an entry is left out: {why}: {entry}"),
             }
@@ -92,6 +61,40 @@
         Ok(())
     }
 
+    fn line(&self, entry: &Value) -> Result<Line, String> {
+        let name = entry.get("name").and_then(Value::as_str).ok_or("name is not a text")?;
+        let state = match entry.get("status").and_then(Value::as_str) {
+            Some("ready") => State::Ready,
+            Some("draining") => State::Draining,
+            Some("gone") => State::Gone,
+            _ => return Err("status is unknown".into()),
+        };
+        match self.whole_line(entry, name, state) {
+            // Nothing new goes to it, whatever else its entry says or lacks.
+            Err(_) if state != State::Ready => {
+                let (backend, started) = (self.desk.id(name), Moment(0));
+                let (zone, kind, group) = (ZoneId(0), KindId(0), GroupId(0));
+                Ok((Listed { backend, zone, kind, group, state: State::Gone, started }, None))
+            }
+            line => line,
+        }
+    }
+
+    fn whole_line(&self, entry: &Value, name: &str, state: State) -> Result<Line, String> {
+        let address = entry.get("address").and_then(Value::as_str).and_then(|a| a.parse().ok());
+        let address = address.ok_or("address is not an address with a port")?;
+        let listed = Listed {
+            zone: ZoneId(place(&self.names.zones, entry, "zone")? as u16),
+            kind: KindId(place(&self.names.kinds, entry, "type")? as u8),
+            group: GroupId(number(entry, "group")? as u16),
+            state,
+            started: Moment(number(entry, "since_ms")?.saturating_mul(1000)),
+            // Last: an entry that is left out names nobody.
+            backend: self.desk.id(name),
+        };
+        Ok((listed, Some(address)))
+    }
+
     /// Watches whenever the module wants the list followed, and says when that has ended.
     pub async fn run(mut self, mut wanted: mpsc::UnboundedReceiver<()>) {
         while wanted.recv().await.is_some() {
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 thread_local! {
-    static LINES: Cell<u32> = const { Cell::new(5) };
+    /// As many as there are, until the start has said how many.
+    static LINES: Cell<u32> = const { Cell::new(u32::MAX) };
 }
 
 /// How many lines each place in the code may write a second.
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -60,7 +60,7 @@
         return Err(format!("known: {why}"));
     }
     let listener = accept::bind(start.listen, limits.backlog).map_err(|e| format!("listen: {e}"))?;
-    let stop = Rc::new(stop::Stop::new(limits.clone()));
+    let stop = Rc::new(stop::Stop::new());
     let (follow, followed) = mpsc::unbounded_channel();
     if !must_ask {
         // Where the list comes by itself, on sockets that is a watch from the start.
@@ -101,8 +101,7 @@
         }
     });
 
-    let launcher =
-        launch::Launcher { pool, desk: desk.clone(), limits: limits.clone(), names: names.clone() };
+    let launcher = launch::Launcher { pool, desk: desk.clone(), names: names.clone() };
     note!("{}: listening on {}", start.name, start.listen);
     accept::accept(listener, Rc::new(intake::Node { desk, launcher, limits, names, effects, stop })).await;
     Ok(())
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -3,8 +3,9 @@
 
 use crate::limits::Limits;
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -15,8 +16,6 @@
 use tokio::time::{timeout, Instant};
 use yarrowfront::ids::BackendId;
 
-pub type Sender = SendRequest<Full<Bytes>>;
-
 /// Counts a socket for as long as it is open or being opened.
 struct Open(Rc<Cell<usize>>);
 
@@ -35,9 +34,9 @@
 
 /// A connection in use. Dropped, it is closed: that is how a launch is given up.
 pub struct Lease {
-    pub sender: Sender,
+    sender: SendRequest<Full<Bytes>>,
     /// It was opened for this use.
-    pub fresh: bool,
+    fresh: bool,
     address: SocketAddr,
     _task: TaskEnd,
 }
@@ -56,7 +55,6 @@
     since: Instant,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NoLease {
     /// The budget is used up, with nothing idle in it.
     Full,
@@ -64,6 +62,17 @@
     Unreachable,
 }
 
+/// What came of a request on a leased connection.
+pub enum Exchange {
+    Came(Response<Bytes>),
+    /// The backend had closed the pooled connection, and the request was surely never written: take another.
+    Stale,
+    /// So had it a new one.
+    Unreachable,
+    /// It may have been written whole, and no whole answer came.
+    Broken,
+}
+
 pub struct Pool {
     limits: Rc<Limits>,
     open: Rc<Cell<usize>>,
@@ -89,17 +98,23 @@
     fn newest(&self, backend: BackendId, address: SocketAddr) -> Option<Lease> {
         let mut idle = self.idle.borrow_mut();
         let there = idle.get_mut(&backend)?;
-        while let Some(Idle { mut lease, since }) = there.pop() {
-            let young = since.elapsed() < self.limits.backend_idle;
-            if young && lease.address == address && !lease.sender.is_closed() {
-                lease.fresh = false;
-                return Some(lease);
+        while let Some(mut idle) = there.pop() {
+            if self.good(&idle, Some(address)) {
+                idle.lease.fresh = false;
+                return Some(idle.lease);
             }
         }
         None
     }
 
-    pub async fn dial(&self, address: SocketAddr) -> Result<Lease, NoLease> {
+    /// Whether an idle connection may still be used, if that is where the backend is.
+    fn good(&self, idle: &Idle, address: Option<SocketAddr>) -> bool {
+        idle.since.elapsed() < self.limits.backend_idle
+            && address == Some(idle.lease.address)
+            && !idle.lease.sender.is_closed()
+    }
+
+    async fn dial(&self, address: SocketAddr) -> Result<Lease, NoLease> {
         if self.open.get() >= self.limits.backend_sockets && !self.close_oldest() {
             return Err(NoLease::Full);
         }
@@ -121,8 +136,31 @@
         Ok(Lease { sender, fresh: true, address, _task: TaskEnd(task.abort_handle()) })
     }
 
-    /// A connection whose last answer has been read whole.
-    pub fn give_back(&self, backend: BackendId, lease: Lease) {
+    /// Sends a request and reads the whole answer; then the connection is there for the next.
+    pub async fn exchange(
+        &self,
+        backend: BackendId,
+        mut lease: Lease,
+        request: Request<Full<Bytes>>,
+    ) -> Exchange {
+        let response = match lease.sender.try_send_request(request).await {
+            Ok(response) => response,
+            // Only a request that comes back was surely never written.
+            Err(error) if error.message().is_none() => return Exchange::Broken,
+            Err(_) if lease.fresh => return Exchange::Unreachable,
+            Err(_) => return Exchange::Stale,
+        };
+        let (head, body) = response.into_parts();
+        match Limited::new(body, self.limits.body_bytes).collect().await {
+            Ok(body) => {
+                self.give_back(backend, lease);
+                Exchange::Came(Response::from_parts(head, body.to_bytes()))
+            }
+            Err(_) => Exchange::Broken,
+        }
+    }
+
+    fn give_back(&self, backend: BackendId, lease: Lease) {
         if !lease.sender.is_closed() {
             let idle = Idle { lease, since: Instant::now() };
             self.idle.borrow_mut().entry(backend).or_default().push(idle);
@@ -138,11 +176,7 @@
     pub fn sweep(&self, address: impl Fn(BackendId) -> Option<SocketAddr>) {
         self.idle.borrow_mut().retain(|&backend, there| {
             let at = address(backend);
-            there.retain(|i| {
-                i.since.elapsed() < self.limits.backend_idle
-                    && !i.lease.sender.is_closed()
-                    && at == Some(i.lease.address)
-            });
+            there.retain(|idle| self.good(idle, at));
             !there.is_empty()
         });
     }
--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -3,12 +3,12 @@
 use crate::desk::Desk;
 use crate::limits::Limits;
 use crate::log::note;
-use crate::pool::Pool;
+use crate::pool::{Exchange, Pool};
 use crate::start::Names;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::header::{HeaderValue, HOST};
-use hyper::{Request, StatusCode};
+use hyper::{Request, StatusCode, Uri};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -61,24 +61,19 @@
 
     /// The report; empty where there is none to be had, and none where nobody answers.
     async fn ask(&self, backend: BackendId, address: SocketAddr) -> Option<Vec<f32>> {
+        let host = HeaderValue::from_str(&address.to_string()).ok()?;
         loop {
-            let mut lease = self.pool.lease(backend, address).await.ok()?;
+            let lease = self.pool.lease(backend, address).await.ok()?;
             let mut request = Request::new(Full::new(Bytes::new()));
-            *request.uri_mut() = hyper::Uri::from_static("/metrics/load");
-            request.headers_mut().insert(HOST, HeaderValue::from_str(&address.to_string()).ok()?);
-            let response = match lease.sender.try_send_request(request).await {
-                Ok(response) => response,
-                Err(error) if error.message().is_some() && !lease.fresh => continue,
-                Err(_) => return None,
+            *request.uri_mut() = Uri::from_static("/metrics/load");
+            request.headers_mut().insert(HOST, host.clone());
+            return match self.pool.exchange(backend, lease, request).await {
+                Exchange::Stale => continue,
+                Exchange::Came(response) if response.status() == StatusCode::OK => {
+                    Some(report(&self.names.report, response.body()).unwrap_or_default())
+                }
+                _ => None,
             };
-            let good = response.status() == StatusCode::OK;
-            let body = Limited::new(response.into_body(), self.limits.body_bytes);
-            let body = body.collect().await.ok()?.to_bytes();
-            self.pool.give_back(backend, lease);
-            return good.then(|| match self.names.report.is_empty() {
-                true => Vec::new(),
-                false => report(&self.names.report, &body).unwrap_or_default(),
-            });
         }
     }
 }
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -7,7 +7,6 @@
 use yarrowfront::terms::Terms;
 
 /// Names on the sockets whose places in these lists are the module's ids.
-#[derive(Debug, Default)]
 pub struct Names {
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -1,21 +1,19 @@
-//! A planned stop: the signal, and the times that follow from it.
+//! A planned stop: the signal, and the time since.
 
-use crate::limits::Limits;
 use crate::log::note;
 use std::io;
-use std::rc::Rc;
+use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::time::{sleep_until, Instant};
 
 pub struct Stop {
-    limits: Rc<Limits>,
     since: watch::Sender<Option<Instant>>,
 }
 
 impl Stop {
-    pub fn new(limits: Rc<Limits>) -> Stop {
-        Stop { limits, since: watch::Sender::new(None) }
+    pub fn new() -> Stop {
+        Stop { since: watch::Sender::new(None) }
     }
 
     /// Waits for the signal to stop.
@@ -35,30 +33,13 @@
         self.since.borrow().is_some()
     }
 
-    async fn asked(&self) -> Instant {
+    /// Over so long after the signal.
+    pub async fn past(&self, span: Duration) {
         let mut since = self.since.subscribe();
         let asked = since.wait_for(Option::is_some).await.ok().and_then(|at| *at);
         match asked {
-            Some(at) => at,
+            Some(at) => sleep_until(at + span).await,
             None => std::future::pending().await,
         }
     }
-
-    /// Over once the last new connections have come.
-    pub async fn accepted(&self) {
-        let at = self.asked().await + self.limits.accept_on;
-        sleep_until(at).await;
-    }
-
-    /// Over once connections without a command on them may be closed.
-    pub async fn idle(&self) {
-        let at = self.asked().await + self.limits.idle_on;
-        sleep_until(at).await;
-    }
-
-    /// Over when nothing may be waited for any more.
-    pub async fn ended(&self) {
-        let at = self.asked().await + self.limits.end_by;
-        sleep_until(at).await;
-    }
 }
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -183,11 +183,10 @@
                     });
                 }
             });
-            entries.push(
-                json!({"name": format!("b{number}"), "address": address.to_string(), "zone": "here",
-                "type": "small",
-                                "group": 1, "status": "ready", "weight": 1.0, "since_ms": 0}),
-            );
+            entries.push(json!({
+                "name": format!("b{number}"), "address": address.to_string(), "zone": "here", "type": "small",
+                "group": 1, "status": "ready", "weight": 1.0, "since_ms": 0,
+            }));
         }
         let (list, lines) = mpsc::channel::<String>();
         let watches = Arc::new(AtomicUsize::new(0));
