Hear SIGHUP: read the file again and move the watch to the new discovery address

Checked: stop.rs listens for SIGTERM and SIGINT alone, so the signal's default ended the process (Stop::listen); and Lister kept the address of its start for good (list.rs, discovery: a field). Ruled out: memory (1 of 48 MB) and descriptors (63 of 384). The test fails without the change: the process is gone at the first signal.

--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -14,7 +14,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{timeout, timeout_at, Instant};
 use yarrowfront::decide::{ListKind, Listed, State};
 use yarrowfront::ids::{GroupId, KindId, ZoneId};
@@ -24,7 +24,6 @@
     pub desk: Rc<Desk>,
     pub limits: Rc<Limits>,
     pub names: Rc<Names>,
-    pub discovery: SocketAddr,
     /// The version that this node has.
     pub index: u64,
 }
@@ -95,10 +94,26 @@
         Ok((listed, Some(address)))
     }
 
-    /// Watches whenever the module wants the list followed, and says when that has ended.
-    pub async fn run(mut self, mut wanted: mpsc::UnboundedReceiver<()>) {
-        while wanted.recv().await.is_some() {
-            if let Err(why) = self.watch().await {
+    /// Watches whenever the module wants the list followed, and says when that has ended. When discovery has
+    /// moved the watch goes along at once: the list as it is known serves on, and nothing has failed.
+    pub async fn run(
+        mut self,
+        mut wanted: mpsc::UnboundedReceiver<()>,
+        mut discovery: watch::Receiver<SocketAddr>,
+    ) {
+        loop {
+            tokio::select! {
+                wanted = wanted.recv() => if wanted.is_none() { return },
+                Ok(()) = discovery.changed() => {}
+            }
+            let ended = loop {
+                let address = *discovery.borrow_and_update();
+                tokio::select! {
+                    ended = self.watch(address) => break ended,
+                    Ok(()) = discovery.changed() => {}
+                }
+            };
+            if let Err(why) = ended {
                 note!("list: the watch has ended: {why}");
             }
             while wanted.try_recv().is_ok() {}
@@ -106,8 +121,8 @@
         }
     }
 
-    async fn watch(&mut self) -> Result<(), String> {
-        let stream = timeout(self.limits.dial, TcpStream::connect(self.discovery)).await;
+    async fn watch(&mut self, discovery: SocketAddr) -> Result<(), String> {
+        let stream = timeout(self.limits.dial, TcpStream::connect(discovery)).await;
         let stream = stream.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?;
         stream.set_nodelay(true).map_err(|e| e.to_string())?;
         let (mut sender, connection) =
@@ -119,15 +134,19 @@
         };
         tokio::select! {
             () = driver => Ok(()),
-            end = self.read(&mut sender) => end,
+            end = self.read(discovery, &mut sender) => end,
         }
     }
 
-    async fn read(&mut self, sender: &mut http1::SendRequest<Empty<Bytes>>) -> Result<(), String> {
+    async fn read(
+        &mut self,
+        discovery: SocketAddr,
+        sender: &mut http1::SendRequest<Empty<Bytes>>,
+    ) -> Result<(), String> {
         let mut request = Request::new(Empty::new());
         let path = format!("/discovery/hosts?stream=1&index={}", self.index);
         *request.uri_mut() = path.parse().map_err(|e| format!("{e}"))?;
-        let host = HeaderValue::from_str(&self.discovery.to_string()).map_err(|e| e.to_string())?;
+        let host = HeaderValue::from_str(&discovery.to_string()).map_err(|e| e.to_string())?;
         request.headers_mut().insert(HOST, host);
         let mut beat = Instant::now() + self.limits.beat_wait;
         let response = timeout_at(beat, sender.send_request(request)).await;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -10,6 +10,7 @@
 mod log;
 mod pool;
 mod probe;
+mod reload;
 mod serve;
 mod start;
 mod stop;
@@ -18,7 +19,7 @@
 use crate::log::note;
 use std::process::ExitCode;
 use std::rc::Rc;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::{spawn_local, LocalSet};
 use yarrowfront::decide::{Balancer, Errand};
 
@@ -49,24 +50,22 @@
     let desk = Rc::new(Desk::new(module, clock, limits.tick, errand));
     let pool = Rc::new(pool::Pool::new(limits.clone()));
 
-    let mut lister = list::Lister {
-        desk: desk.clone(),
-        limits: limits.clone(),
-        names: names.clone(),
-        discovery: start.discovery,
-        index: 0,
-    };
+    let mut lister =
+        list::Lister { desk: desk.clone(), limits: limits.clone(), names: names.clone(), index: 0 };
     if let Some(Err(why)) = start.known.map(|known| lister.told(&known, true)) {
         return Err(format!("known: {why}"));
     }
     let listener = accept::bind(start.listen, limits.backlog).map_err(|e| format!("listen: {e}"))?;
     let stop = Rc::new(stop::Stop::new());
+    let (moved, discovery) = watch::channel(start.discovery);
+    let reload = reload::Reload::new(moved).map_err(|e| format!("SIGHUP: {e}"))?;
+    spawn_local(reload.run());
     let (follow, followed) = mpsc::unbounded_channel();
     if !must_ask {
         // Where the list comes by itself, on sockets that is a watch from the start.
         let _ = follow.send(());
     }
-    spawn_local(lister.run(followed));
+    spawn_local(lister.run(followed, discovery));
 
     let prober = probe::Prober {
         desk: desk.clone(),
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -50,6 +50,32 @@
     Some(message)
 }
 
+/// A discovery that tells its watches what it is sent: its channel, its address, and how many watches came.
+fn discovery(own: &str) -> (mpsc::Sender<String>, SocketAddr, Arc<AtomicUsize>) {
+    let (list, lines) = mpsc::channel::<String>();
+    let watches = Arc::new(AtomicUsize::new(0));
+    let (discovery, told) = listener(own);
+    let watched = watches.clone();
+    spawn(move || {
+        for mut stream in discovery.incoming().flatten() {
+            if read(&mut stream).is_none() {
+                continue;
+            }
+            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n";
+            let _ = stream.write_all(head.as_bytes());
+            watched.fetch_add(1, SeqCst);
+            // It says nothing by itself, as a cut network does; an empty text ends the watch.
+            while let Ok(line) = lines.recv_timeout(Duration::from_secs(6)) {
+                let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+                if line.is_empty() || stream.write_all(chunk.as_bytes()).is_err() {
+                    break;
+                }
+            }
+        }
+    });
+    (list, told, watches)
+}
+
 /// What a backend does with a launch.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Act {
@@ -94,8 +120,9 @@
     list: mpsc::Sender<String>,
     watches: Arc<AtomicUsize>,
     entries: Vec<Value>,
+    config: Value,
     folder: PathBuf,
-    _log: BufReader<ChildStderr>,
+    log: BufReader<ChildStderr>,
 }
 
 impl Drop for World {
@@ -188,28 +215,8 @@
                 "group": 1, "status": "ready", "weight": 1.0, "since_ms": 0,
             }));
         }
-        let (list, lines) = mpsc::channel::<String>();
-        let watches = Arc::new(AtomicUsize::new(0));
-        let (discovery, told) = listener(&own);
+        let (list, told, watches) = discovery(&own);
         let (_, listen) = listener(&own);
-        let watched = watches.clone();
-        spawn(move || {
-            for mut stream in discovery.incoming().flatten() {
-                if read(&mut stream).is_none() {
-                    continue;
-                }
-                let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n";
-                let _ = stream.write_all(head.as_bytes());
-                watched.fetch_add(1, SeqCst);
-                // It says nothing by itself, as a cut network does; an empty text ends the watch.
-                while let Ok(line) = lines.recv_timeout(Duration::from_secs(6)) {
-                    let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
-                    if line.is_empty() || stream.write_all(chunk.as_bytes()).is_err() {
-                        break;
-                    }
-                }
-            }
-        });
         let mut config = json!({
             "name": "n1", "listen": listen.to_string(), "discovery": told.to_string(),
             "seed": "8c1f30d27a5be964",
@@ -222,7 +229,7 @@
         let mut line = String::new();
         log.read_line(&mut line).expect("a line");
         assert!(line.contains("listening on"), "the node does not come up: {line}");
-        let world = World { node, listen, launches, probes, list, watches, entries, folder, _log: log };
+        let world = World { node, listen, launches, probes, list, watches, entries, config, folder, log };
         assert_eq!(world.ask("GET /up HTTP/1.1\r\nHost: n\r\n\r\n").status(), 200);
         world
     }
@@ -243,6 +250,23 @@
         self.ask(&command(profile, "a body", ""))
     }
 
+    fn signal(&self, name: &str) {
+        let pid = self.node.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
+    }
+
+    /// Puts another text in the place of the configuration and says so; the line that the node writes then.
+    fn reload(&mut self, text: &str) -> String {
+        std::fs::write(self.folder.join("config.json"), text).expect("a file");
+        self.signal("-HUP");
+        let mut line = String::new();
+        while !line.starts_with("reload:") {
+            line.clear();
+            assert!(self.log.read_line(&mut line).expect("a log") > 0, "the node has ended");
+        }
+        line
+    }
+
     fn launched(&self) -> usize {
         self.launches.lock().expect("launches").len()
     }
@@ -491,6 +515,39 @@
     assert_eq!(world.command("read").status(), 200);
 }
 
+/// A new configuration must not end the node, nor stop it from serving what it knows; from then on the list
+/// comes from where the file says. A bad file changes nothing, and its fault stands in one line.
+#[test]
+fn a_new_configuration_moves_the_watch() {
+    let mut world = World::new(2, |_| Act::Finish, |_| {});
+    until("a watch", || world.watches.load(SeqCst) >= 1);
+    let (list, told, watches) = discovery(&own_address());
+    let mut config = world.config.clone();
+    config["discovery"] = told.to_string().into();
+    let (good, mut bad) = (config.to_string(), config);
+    bad["settings"]["limits"]["connIdle"] = Value::Null;
+    for (text, key) in [("{", "not JSON"), (&*bad.to_string(), "settings.limits.connIdle")] {
+        let line = world.reload(text);
+        assert!(line.contains("the old configuration stays") && line.contains(key), "{line}");
+        assert_eq!((world.command("read").status(), watches.load(SeqCst)), (200, 0));
+    }
+    for _ in 0..2 {
+        assert!(world.reload(&good).contains(&told.to_string()));
+        assert_eq!(world.command("read").status(), 200);
+        // Told the same again it stays with the watch that it has.
+        until("the watch has moved", || watches.load(SeqCst) == 1);
+    }
+    let mut gone = world.entries[0].clone();
+    gone["status"] = "gone".into();
+    let line = json!({"index": 9, "snapshot": false, "endpoints": [gone]}).to_string();
+    list.send(line).expect("a watch");
+    until("b0 is gone", || {
+        let before = world.launched();
+        (0..8).all(|_| world.command("read").status() == 200)
+            && world.launches.lock().expect("launches")[before..].iter().all(|(n, _)| *n == 1)
+    });
+}
+
 /// A planned stop answers all that was taken, also on connections that come after the signal, and ends well.
 #[test]
 fn a_planned_stop_loses_nothing() {
@@ -500,8 +557,7 @@
     early.write_all(text.as_bytes()).expect("written");
     kept.write_all("GET /up HTTP/1.1\r\nHost: n\r\n\r\n".as_bytes()).expect("written");
     assert_eq!(read(&mut kept).expect("an answer").status(), 200);
-    let pid = world.node.id().to_string();
-    assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill").success());
+    world.signal("-TERM");
     let mut late = world.connect();
     // Half of a command that never comes whole must not hold the node up.
     let mut half = world.connect();
