--- a/src/decide.rs
+++ b/src/decide.rs
@@ -773,8 +773,8 @@
         }
         let b = &mut self.backends[i];
         b.weighed_at = now;
-        b.good = (b.good + good).min(8.0);
-        b.bad = (b.bad + bad).min(8.0);
+        let over = ((b.good + good) / 8.0).max(1.0);
+        (b.good, b.bad) = ((b.good + good) / over, ((b.bad + bad) / over).min(8.0));
     }
 
     fn launch(&mut self, now: Moment, command: &mut Command, i: usize) -> Say {
