--- a/src/decide.rs
+++ b/src/decide.rs
@@ -175,8 +175,9 @@
 const FRESH: f64 = 0.13;
 const ASKING: f64 = 0.033;
 
-/// A launch out for so many times what was expected is written off: at sixteen, many held their place to the end.
-const LOST: f64 = 6.0;
+/// A launch out for so many times what was expected is written off, past its goal time and within it: sooner
+/// where its answer is worth nothing any more, later where a second copy may follow.
+const LOST: [f64; 2] = [6.0, 10.0];
 
 impl Backend {
     fn ghost_left(&self, now: Moment) -> f64 {
@@ -360,7 +361,6 @@
         }
     }
 
-    /// A load report, or a probe that found nobody.
     pub fn report(&mut self, now: Moment, at: BackendId, found: bool, trip: Option<Span>, values: &[f32]) {
         let Some(&i) = self.index.get(&at) else { return };
         let sighted = self.sighted();
@@ -390,7 +390,6 @@
         }
     }
 
-    /// The next thing the node wants done, until there is none.
     pub fn errand(&mut self, now: Moment) -> Option<Errand> {
         if let Some(errand) = self.errands.pop() {
             return Some(errand);
@@ -782,7 +781,9 @@
         let cost = self.cost(command);
         let ahead = self.ahead(now, &self.backends[i]);
         let level = self.pour(now, &self.backends[i], cost).unwrap_or(0.0);
-        let lost_at = now + Span((LOST * self.expected(now, &self.backends[i], cost.max(self.usual))) as u64);
+        let due = self.expected(now, &self.backends[i], cost.max(self.usual));
+        let lost = LOST.map(|times| now + Span((times * due) as u64));
+        let lost_at = self.goal_end(command).max(lost[0]).min(lost[1]);
         let b = &mut self.backends[i];
         b.token = None;
         if b.in_flight == 0 {
@@ -905,7 +906,6 @@
         Say::NotYet
     }
 
-    /// Something may have come free: the next held command is asked again.
     fn wake_next(&mut self) {
         if let Some(next) = self.held.last() {
             self.errands.push(Errand::Again(next.hand));
