Say once what a launch leaves behind, and drop what can be told from the rest

Read over: the work left at a backend by a launch that is given up on was written in overdue and in learn, what is still awaited in awaited and in overdue; Heads kept a line's length beside the line; a connection's end had two flags for one step; bodies reckoned its last byte three times. Each stands once now. No behaviour is meant to change; no test was touched.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -208,7 +208,7 @@
         let followed = Followed { stream, heads: Heads::new(), clash: guest.clash.clone() };
         let service = TowerToHyperService::new(Intake { node, guest: guest.clone() });
         let mut connection = pin!(builder.serve_connection(TokioIo::new(followed), service));
-        let (mut closing, mut closed) = (false, false);
+        let mut closing = false;
         loop {
             let due = guest.due(&limits).max(Instant::now() + limits.settle);
             tokio::select! {
@@ -216,9 +216,9 @@
                 biased;
                 // A client that goes ends it: whatever was in hand is dropped and told to the module.
                 _ = connection.as_mut() => break,
-                () = ready(()), if closing && !closed => {
+                () = ready(()), if closing => {
                     connection.as_mut().graceful_shutdown();
-                    closed = true;
+                    closing = false;
                 }
                 () = guest.close.notified() => {
                     // What the kernel already has for it is seen and read before it ends.
--- a/crates/node/src/bodies.rs
+++ b/crates/node/src/bodies.rs
@@ -53,8 +53,8 @@
     /// as a connection that is closed with something unread takes the reply with it; past that, or told to go
     /// past that, it is refused at once.
     pub async fn whole(&self, mut body: Incoming, most: usize, read_on: usize) -> Result<Bytes, Unread> {
-        let told = body.size_hint().lower();
-        if told > read_on.max(most) as u64 {
+        let (told, last) = (body.size_hint().lower(), read_on.max(most));
+        if told > last as u64 {
             return Err(Unread::TooLarge);
         }
         if told <= most as u64 && told > self.free() as u64 {
@@ -68,7 +68,7 @@
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.map_err(|_| Unread::Broken)?.into_data() else { continue };
             length += data.len();
-            if length > read_on.max(most) {
+            if length > last {
                 break;
             }
             if length <= most {
--- a/crates/node/src/lengths.rs
+++ b/crates/node/src/lengths.rs
@@ -24,8 +24,6 @@
 pub struct Heads {
     at: At,
     line: Vec<u8>,
-    /// Bytes of this line, kept or not.
-    long: usize,
     /// Lines of this head.
     lines: usize,
     length: Option<u64>,
@@ -36,7 +34,7 @@
 impl Heads {
     pub fn new() -> Heads {
         let line = Vec::with_capacity(KEPT);
-        Heads { at: At::Head, line, long: 0, lines: 0, length: None, coded: false, ended: 0 }
+        Heads { at: At::Head, line, lines: 0, length: None, coded: false, ended: 0 }
     }
 
     /// Follows what has come; the number of the first head that tells both lengths, counted from one.
@@ -56,7 +54,6 @@
                     };
                     let room = KEPT - self.line.len();
                     self.line.extend_from_slice(&part[..part.len().min(room)]);
-                    self.long += part.len();
                     bytes = rest.unwrap_or_default();
                     if rest.is_some() && self.line_ends() {
                         return Some(self.ended);
@@ -69,7 +66,7 @@
 
     /// A line is whole. True if with it a head is that tells both.
     fn line_ends(&mut self) -> bool {
-        let empty = self.long == 0 || self.long == 1 && self.line == b"\r";
+        let empty = self.line.is_empty() || self.line == b"\r";
         if !empty {
             self.lines += 1;
             if let Some(colon) = self.line.iter().position(|&b| b == b':') {
@@ -83,7 +80,6 @@
             }
         }
         self.line.clear();
-        self.long = 0;
         // Empty lines before a head are none of it.
         if !empty || self.lines == 0 {
             return false;
--- a/src/command.rs
+++ b/src/command.rs
@@ -103,10 +103,6 @@
         self.launches.iter().flatten()
     }
 
-    pub fn launches_mut(&mut self) -> impl Iterator<Item = &mut Launch> {
-        self.launches.iter_mut().flatten()
-    }
-
     pub fn launch(&mut self, number: u8) -> Option<&mut Launch> {
         self.launches.get_mut(usize::from(number))?.as_mut()
     }
@@ -119,9 +115,9 @@
         self.launches().filter(|l| l.fate == Fate::Out).count()
     }
 
-    /// Launches out of which an answer is still expected.
-    pub fn awaited(&self) -> usize {
-        self.launches().filter(|l| l.fate == Fate::Out && !l.lost).count()
+    /// The first launch out of which an answer is still expected.
+    pub(crate) fn awaited(&mut self) -> Option<&mut Launch> {
+        self.launches.iter_mut().flatten().find(|l| l.fate == Fate::Out && !l.lost)
     }
 
     pub(crate) fn add(&mut self, launch: Launch) {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -183,6 +183,17 @@
     fn ghost_left(&self, now: Moment) -> f64 {
         (self.ghost - now.since(self.ghost_at).micros() / self.pace).max(0.0)
     }
+
+    /// Work given up on goes on there for all we know.
+    fn haunt(&mut self, now: Moment, cost: f64) {
+        (self.ghost, self.ghost_at) = (self.ghost_left(now) + cost, now);
+    }
+
+    /// A launch holds its place no longer.
+    fn release(&mut self, launch: &Launch) {
+        self.in_flight -= 1;
+        self.pending = if self.in_flight == 0 { 0.0 } else { (self.pending - launch.cost).max(0.0) };
+    }
 }
 
 impl Balancer {
@@ -242,7 +253,7 @@
                 return self.give_up(command);
             }
         }
-        if command.awaited() > 0 {
+        if command.awaited().is_some() {
             return self.overdue(now, hand, command);
         }
         let chosen = self.choose(now, command);
@@ -264,7 +275,7 @@
         let launch = *launch;
         self.learn(now, command, &launch, outcome);
         self.wake_next();
-        if command.closed || outcome == Outcome::Finished || command.awaited() > 0 {
+        if command.closed || outcome == Outcome::Finished || command.awaited().is_some() {
             return Say::NotYet;
         }
         self.anew(now, hand, command)
@@ -474,17 +485,14 @@
     fn overdue(&mut self, now: Moment, hand: Hand, command: &mut Command) -> Say {
         let end = self.goal_end(command);
         command.look_at = Moment(u64::MAX);
-        let Some(out) = command.launches_mut().find(|l| l.fate == Fate::Out && !l.lost) else {
-            return Say::NotYet;
-        };
+        let Some(out) = command.awaited() else { return Say::NotYet };
         out.lost = now >= out.lost_at;
         let launch = *out;
         if launch.lost {
             let i = self.index[&launch.backend];
             self.weigh(now, i, 0.0, 1.0);
-            self.release(i, &launch);
-            let b = &mut self.backends[i];
-            (b.ghost, b.ghost_at) = (b.ghost_left(now) + launch.cost, now);
+            self.backends[i].release(&launch);
+            self.backends[i].haunt(now, launch.cost);
             self.wake_next();
             return if self.terms.second_copies { self.anew(now, hand, command) } else { Say::NotYet };
         }
@@ -496,12 +504,6 @@
         Say::NotYet
     }
 
-    fn release(&mut self, i: usize, launch: &Launch) {
-        let b = &mut self.backends[i];
-        b.in_flight -= 1;
-        b.pending = if b.in_flight == 0 { 0.0 } else { (b.pending - launch.cost).max(0.0) };
-    }
-
     /// Whether reports show what others do. They can stand still or lie: then a node goes by its own answers
     /// until those are in time again.
     fn sighted(&self) -> bool {
@@ -979,17 +981,15 @@
         let b = &mut self.backends[i];
         let before = launch.sent < b.listed.started;
         if !launch.lost {
-            self.release(i, launch);
+            b.release(launch);
         }
-        let b = &mut self.backends[i];
         if outcome == Outcome::Full && self.terms.may_probe {
             // As good as a report: there is more than it can do in time.
             b.others = goal / self.rows[usize::from(command.profile.0)].mean.max(1.0);
             b.report_at = now;
         }
         if matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) && !before && !launch.lost {
-            b.ghost = b.ghost_left(now) + launch.cost;
-            b.ghost_at = now;
+            b.haunt(now, launch.cost);
             if took > launch.ahead * b.pace {
                 b.pace += 0.1 * (took / launch.ahead.max(1.0) - b.pace).min(3.0 * b.pace);
             }
