--- /dev/null
+++ b/crates/rehearsal/src/judge/rules.rs
@@ -0,0 +1,240 @@
+//! The four rules, counted from what clients and backends saw.
+
+use crate::judge::{Final, Seen};
+use crate::scenario::{EffectOf, Scenario, Scope};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use yarrowfront::times::{Moment, Span};
+
+/// What broke, with the first cases in words.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Broken {
+    /// One whole final answer in time, made for the command.
+    pub answers: u64,
+    /// No effect twice, and a turn-back's promise.
+    pub effects: u64,
+    /// Nothing new to a draining or gone backend after the grace.
+    pub drains: u64,
+    /// A cold backend is not pushed over.
+    pub pushes: u64,
+    pub crashes: u64,
+    pub cases: Vec<String>,
+}
+
+impl Broken {
+    pub fn any(&self) -> bool {
+        self.answers + self.effects + self.drains + self.pushes + self.crashes > 0
+    }
+}
+
+/// Cases told in words; the rest is only counted.
+const CASES: usize = 12;
+/// An answer may come so much after its time: what a timer and a trip take.
+const SLACK: Span = Span::millis(50);
+
+struct Open {
+    command: u64,
+    profile: u16,
+    node: usize,
+    until: Moment,
+}
+
+/// A cold backend, and the work that came to it of late.
+struct Cold {
+    started: Moment,
+    share: f64,
+    warm: f64,
+    capacity: f64,
+    came: VecDeque<(Moment, f64)>,
+    sum: f64,
+}
+
+pub struct Rules {
+    origin: Moment,
+    effects: Vec<(EffectOf, Scope)>,
+    grace: Span,
+    multiple: f64,
+    window: Span,
+    open: HashMap<u64, Open>,
+    /// Final answers given to tries that are not open any more: a second one is one too many.
+    closed: HashMap<u64, Moment>,
+    /// Effects had by commands that may have one only, and by which try.
+    ran: HashMap<u64, Vec<u64>>,
+    /// Since when a node knows that a backend takes nothing new.
+    unready: BTreeMap<(usize, usize), Moment>,
+    cold: BTreeMap<usize, Cold>,
+    pub broken: Broken,
+}
+
+impl Rules {
+    pub fn new(scenario: &Scenario, origin: Moment) -> Rules {
+        Rules {
+            origin,
+            effects: scenario.profiles.iter().map(|p| (p.effect, p.scope)).collect(),
+            grace: scenario.allow.drain_grace.span(),
+            multiple: scenario.allow.push_over,
+            window: scenario.allow.push_span.span(),
+            open: HashMap::new(),
+            closed: HashMap::new(),
+            ran: HashMap::new(),
+            unready: BTreeMap::new(),
+            cold: BTreeMap::new(),
+            broken: Broken::default(),
+        }
+    }
+
+    fn case(&mut self, at: Moment, text: String) {
+        if self.broken.cases.len() < CASES {
+            self.broken.cases.push(format!("{:.3} s: {text}", at.since(self.origin).micros() / 1e6));
+        }
+    }
+
+    pub fn see(&mut self, seen: &Seen) {
+        match *seen {
+            Seen::Taken { attempt, command, profile, node, until, .. } => {
+                self.open.insert(attempt, Open { command, profile, node, until });
+            }
+            Seen::Left { attempt } => {
+                self.open.remove(&attempt);
+            }
+            Seen::Answered { attempt, what, made_for, at } => self.answered(attempt, what, made_for, at),
+            Seen::Broken { attempt, at } => {
+                if let Some(open) = self.open.remove(&attempt) {
+                    self.broken.answers += 1;
+                    self.case(
+                        at,
+                        format!("command {}: its connection ended without an answer", open.command),
+                    );
+                }
+            }
+            Seen::Began { backend, attempt, command, profile, at, .. } => {
+                let effect = self.effects[usize::from(profile)].0;
+                if effect != EffectOf::Repeatable {
+                    let ran = self.ran.entry(command).or_default();
+                    ran.push(attempt);
+                    if ran.len() > 1 {
+                        let times = ran.len();
+                        self.broken.effects += 1;
+                        self.case(
+                            at,
+                            format!("command {command}: run {times} times, now by backend {backend}"),
+                        );
+                    }
+                }
+            }
+            Seen::Told { node, backend, ready, at } => {
+                if ready {
+                    self.unready.remove(&(node, backend));
+                } else {
+                    self.unready.entry((node, backend)).or_insert(at);
+                }
+            }
+            Seen::Launched { node, backend, at, .. } => {
+                let told = self.unready.get(&(node, backend)).copied();
+                if let Some(told) = told.filter(|told| at > *told + self.grace) {
+                    let late = at.since(told).micros() / 1e3;
+                    self.broken.drains += 1;
+                    self.case(
+                        at,
+                        format!(
+                            "node {node}: launched to backend {backend} {late:.0} ms after it \
+                                           was told that it takes nothing"
+                        ),
+                    );
+                }
+            }
+            Seen::Started { backend, at, share, warm, capacity } => {
+                let came = VecDeque::new();
+                self.cold.insert(backend, Cold { started: at, share, warm, capacity, came, sum: 0.0 });
+            }
+            Seen::Reached { backend, work, at } => self.reached(backend, work, at),
+            Seen::Fell { backend, at } => {
+                self.broken.pushes += 1;
+                self.case(at, format!("backend {backend} was cold and fell over"));
+            }
+            Seen::Killed { node, .. } => self.open.retain(|_, open| open.node != node),
+            Seen::Fresh { node } => self.unready.retain(|(n, _), _| *n != node),
+            Seen::Crashed { node, at } => {
+                self.open.retain(|_, open| open.node != node);
+                self.broken.crashes += 1;
+                self.case(at, format!("node {node} ended by itself, or did not when it was told to"));
+            }
+            Seen::Due { .. } | Seen::Settled { .. } | Seen::Probed => {}
+        }
+    }
+
+    fn answered(&mut self, attempt: u64, what: Final, made_for: Option<u64>, at: Moment) {
+        let Some(open) = self.open.remove(&attempt) else {
+            if self.closed.contains_key(&attempt) {
+                self.broken.answers += 1;
+                self.case(at, format!("try {attempt}: a second final answer"));
+            }
+            return;
+        };
+        self.closed.insert(attempt, at);
+        let command = open.command;
+        if at > open.until + SLACK {
+            self.broken.answers += 1;
+            let late = at.since(open.until).micros() / 1e3;
+            self.case(at, format!("command {command}: answered {late:.0} ms after its time"));
+        }
+        if what == Final::Finished && made_for != Some(attempt) {
+            self.broken.answers += 1;
+            self.case(at, format!("command {command}: finished by an answer that was made for another"));
+        }
+        // A turn-back says that trying again is harmless.
+        let (effect, scope) = self.effects[usize::from(open.profile)];
+        let bound = match effect {
+            EffectOf::Repeatable => false,
+            EffectOf::Tagged => scope != Scope::All,
+            EffectOf::OnceOnly => true,
+        };
+        if what == Final::TurnedBack && bound && self.ran.contains_key(&command) {
+            self.broken.effects += 1;
+            self.case(at, format!("command {command}: turned back though it had run"));
+        }
+    }
+
+    /// The work that reaches a cold backend within any window, against what it can do at that time.
+    fn reached(&mut self, backend: usize, work: f64, at: Moment) {
+        let (multiple, window) = (self.multiple, self.window);
+        let Some(cold) = self.cold.get_mut(&backend) else { return };
+        let age = at.since(cold.started).micros();
+        if age >= cold.warm {
+            self.cold.remove(&backend);
+            return;
+        }
+        cold.came.push_back((at, work));
+        cold.sum += work;
+        while cold.came.front().is_some_and(|(came, _)| at.since(*came) >= window) {
+            cold.sum -= cold.came.pop_front().map_or(0.0, |(_, work)| work);
+        }
+        let now = cold.capacity * (cold.share + (1.0 - cold.share) * age / cold.warm);
+        let budget = multiple * now * window.micros();
+        // Chance is allowed for: the largest few of what came, and a tenth.
+        let largest = cold.came.iter().map(|(_, w)| *w).fold(0.0, f64::max);
+        let (sum, bound) = (cold.sum, 1.1 * budget + 3.0 * largest);
+        if sum > bound {
+            // Once for a backend's start, or one push would count for every command that follows.
+            self.cold.remove(&backend);
+            self.broken.pushes += 1;
+            let (sum, budget) = (sum / 1e3, budget / 1e3);
+            self.case(
+                at,
+                format!("backend {backend} was cold: {sum:.0} ms of work came, {budget:.0} are borne"),
+            );
+        }
+    }
+
+    /// What is still open when all is over has never been answered.
+    pub fn end(&mut self, at: Moment) {
+        let mut left: Vec<u64> =
+            self.open.values().filter(|o| at > o.until + SLACK).map(|o| o.command).collect();
+        left.sort_unstable();
+        for command in left {
+            self.broken.answers += 1;
+            self.case(at, format!("command {command}: never answered"));
+        }
+        self.open.clear();
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/model/settings.rs
@@ -0,0 +1,58 @@
+//! The settings that a node is given for a scenario: one text for the module on the virtual clock and for the
+//! node's file on the real one.
+
+use crate::scenario::{EffectOf, Scenario, Scope};
+use serde_json::{json, Value};
+
+pub fn zone_name(zone: u16) -> String {
+    format!("zone-{zone}")
+}
+
+/// What a load report is called by the settings; the stand-in backends call the fields by their own names.
+pub const REPORT: [&str; 3] = ["outstanding", "backlog", "utilization"];
+
+pub fn settings(scenario: &Scenario, zone: u16) -> Value {
+    let profile = |p: &crate::scenario::Profile| {
+        let effect = match p.effect {
+            EffectOf::Repeatable => "repeatable",
+            EffectOf::Tagged => "by_key",
+            EffectOf::OnceOnly => "once",
+        };
+        let scope = match p.scope {
+            Scope::All => "all",
+            Scope::Zone => "zone",
+            Scope::Group => "cell",
+        };
+        json!({"name": p.name, "goalTime": p.goal.nanos(), "timeLimit": p.limit.nanos(), "idempotency": effect,
+               "group": scope, "memorySpan": p.memory.nanos(), "payoff": p.payoff})
+    };
+    let allow = &scenario.allow;
+    // What backends state of themselves is the least of any kind: a node cannot tell them apart before.
+    let cold = scenario.backends.iter().map(|k| k.cold).fold(1.0, f64::min);
+    let warm = scenario.backends.iter().map(|k| k.warm.nanos()).max().unwrap_or_default();
+    json!({
+        "balancers": scenario.nodes,
+        "zone": zone,
+        "zones": (0..scenario.zones).map(zone_name).collect::<Vec<_>>(),
+        "flavors": scenario.backends.iter().map(|k| &k.kind).collect::<Vec<_>>(),
+        "discovery": "ask",
+        "profiles": scenario.profiles.iter().map(profile).collect::<Vec<_>>(),
+        "tenants": scenario.customers.iter()
+            .map(|c| json!({"name": c.name, "quotaPerS": c.quota_per_s})).collect::<Vec<_>>(),
+        "surplusPayoff": allow.surplus_payoff,
+        "goal": {"tailMiss": allow.tail_miss},
+        "limits": {
+            "mostLaunches": allow.launches, "cancel": true, "secondCopies": allow.second_copies,
+            "mayProbe": allow.probes, "retryAfter": allow.come_back.is_some(),
+            "maxRetryAfter": allow.come_back.map_or(0, |t| t.nanos()),
+            "dialTimeout": scenario.net.dial.nanos(), "connIdle": 30_000_000_000u64
+        },
+        "report": if allow.probes { json!({"how": "pull", "names": REPORT}) } else { Value::Null },
+        "penalties": {"probe": allow.probe_price, "crossZone": allow.crossing_price},
+        "guarantees": {
+            "startCapacity": cold, "warmWithin": warm, "tipMultiple": allow.push_over,
+            "fall": allow.push_span.nanos(), "drainGrace": allow.drain_grace.nanos(),
+            "askWithin": scenario.list.ask_within.nanos()
+        }
+    })
+}
--- /dev/null
+++ b/crates/rehearsal/src/policy.rs
@@ -0,0 +1,304 @@
+//! Policies on the virtual clock: yarrowfront's own module, unchanged, and simple ones to compare it with.
+
+use crate::draw::{Draw, Stream};
+use crate::model::fleet::Fleet;
+use crate::model::settings::settings;
+use crate::scenario::{EffectOf, Scenario};
+use yarrowfront::command::{Command, Fate, Outcome};
+use yarrowfront::decide::{Balancer, Errand, ListKind, Listed, Say, State};
+use yarrowfront::ids::{BackendId, Hand};
+use yarrowfront::terms::Terms;
+use yarrowfront::times::{Moment, Span};
+
+/// A launch as its node's driver keeps it.
+#[derive(Clone, Copy, Debug)]
+pub struct Sent {
+    pub backend: usize,
+    pub fate: Fate,
+}
+
+/// A command in a node's hand.
+pub struct Task {
+    pub command: Command,
+    pub sent: Vec<Sent>,
+}
+
+impl Task {
+    pub fn out(&self) -> usize {
+        self.sent.iter().filter(|s| s.fate == Fate::Out).count()
+    }
+}
+
+/// The module's three questions and what it is told. `fleet` is the true state: only a policy that is allowed
+/// sight of it looks there.
+pub trait Policy {
+    fn place(&mut self, now: Moment, hand: Hand, task: &mut Task, fleet: &Fleet) -> Say;
+    /// `task.sent` has the launch's fate already.
+    fn after(
+        &mut self,
+        now: Moment,
+        hand: Hand,
+        task: &mut Task,
+        launch: u8,
+        outcome: Outcome,
+        fleet: &Fleet,
+    ) -> Say;
+    fn wait(&self, now: Moment, task: Option<&Task>) -> Option<Span>;
+    fn dropped(&mut self, task: &mut Task);
+    fn list(&mut self, now: Moment, kind: ListKind, lines: &[Listed]);
+    fn report(&mut self, now: Moment, at: BackendId, found: bool, trip: Span, values: &[f32]);
+    fn errand(&mut self, now: Moment) -> Option<Errand>;
+}
+
+/// A node's start.
+pub struct Birth<'a> {
+    pub scenario: &'a Scenario,
+    pub node: usize,
+    pub seed: u64,
+    pub now: Moment,
+}
+
+pub type Make<'a> = dyn Fn(&Birth) -> Result<Box<dyn Policy>, String> + Sync + 'a;
+
+pub const NAMES: [&str; 5] = ["yarrowfront", "random", "round-robin", "less-busy", "shortest"];
+
+/// The policy of this name for a node that starts.
+pub fn make(name: &str, birth: &Birth) -> Result<Box<dyn Policy>, String> {
+    let pick = match name {
+        "yarrowfront" => return Yarrowfront::new(birth).map(|y| Box::new(y) as Box<dyn Policy>),
+        "random" => Pick::Random,
+        "round-robin" => Pick::RoundRobin,
+        "less-busy" => Pick::LessBusy,
+        "shortest" => Pick::Shortest,
+        _ => return Err(format!("there is no policy {name:?}: one of {}", NAMES.join(", "))),
+    };
+    Ok(Box::new(Simple::new(pick, birth)))
+}
+
+pub struct Yarrowfront(Balancer);
+
+impl Yarrowfront {
+    pub fn new(birth: &Birth) -> Result<Yarrowfront, String> {
+        let zone = birth.node as u16 % birth.scenario.zones;
+        let terms = Terms::from_json(settings(birth.scenario, zone).to_string().as_bytes())?;
+        Ok(Yarrowfront(Balancer::new(terms, birth.seed, birth.now)))
+    }
+}
+
+impl Policy for Yarrowfront {
+    fn place(&mut self, now: Moment, hand: Hand, task: &mut Task, _: &Fleet) -> Say {
+        self.0.place(now, hand, &mut task.command)
+    }
+
+    fn after(&mut self, now: Moment, hand: Hand, task: &mut Task, n: u8, outcome: Outcome, _: &Fleet) -> Say {
+        self.0.after(now, hand, &mut task.command, n, outcome)
+    }
+
+    fn wait(&self, now: Moment, task: Option<&Task>) -> Option<Span> {
+        self.0.wait(now, task.map(|t| &t.command))
+    }
+
+    fn dropped(&mut self, task: &mut Task) {
+        self.0.dropped(&mut task.command);
+    }
+
+    fn list(&mut self, now: Moment, kind: ListKind, lines: &[Listed]) {
+        self.0.list(now, kind, lines.iter().copied());
+    }
+
+    fn report(&mut self, now: Moment, at: BackendId, found: bool, trip: Span, values: &[f32]) {
+        self.0.report(now, at, found, Some(trip), values);
+    }
+
+    fn errand(&mut self, now: Moment) -> Option<Errand> {
+        self.0.errand(now)
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Pick {
+    Random,
+    RoundRobin,
+    /// The one of two random ones with fewer own launches out.
+    LessBusy,
+    /// The one that would be done first, with sight of every backend's true state; what nobody would finish
+    /// within its goal time is turned back. No real node can know this.
+    Shortest,
+}
+
+/// One that holds nothing, learns nothing and keeps the rules as simply as can be.
+struct Simple {
+    pick: Pick,
+    draw: Draw,
+    turn: usize,
+    listed: Vec<Listed>,
+    ready: Vec<usize>,
+    out: Vec<u32>,
+    effects: Vec<EffectOf>,
+    goals: Vec<Span>,
+    works: Vec<f64>,
+    most: usize,
+    come_back: Span,
+    follow: bool,
+    follow_at: Moment,
+    ask_within: Span,
+}
+
+impl Simple {
+    fn new(pick: Pick, birth: &Birth) -> Simple {
+        let scenario = birth.scenario;
+        let draw = Draw::new(birth.seed, Stream::Nodes);
+        Simple {
+            pick,
+            draw,
+            turn: birth.node,
+            listed: Vec::new(),
+            ready: Vec::new(),
+            out: Vec::new(),
+            effects: scenario.profiles.iter().map(|p| p.effect).collect(),
+            goals: scenario.profiles.iter().map(|p| p.goal.span()).collect(),
+            works: scenario.profiles.iter().map(|p| p.work.micros()).collect(),
+            most: scenario.allow.launches as usize,
+            come_back: scenario.allow.come_back.map_or(Span(0), |t| t.span().scaled(0.2)),
+            follow: true,
+            follow_at: birth.now,
+            ask_within: scenario.list.ask_within.span(),
+        }
+    }
+
+    fn choose(&mut self, now: Moment, task: &Task, fleet: &Fleet) -> Option<usize> {
+        let fresh = |b: &usize| !task.sent.iter().any(|s| s.backend == *b);
+        let open: Vec<usize> = self.ready.iter().copied().filter(fresh).collect();
+        if open.is_empty() {
+            return None;
+        }
+        Some(match self.pick {
+            Pick::Random => open[self.draw.below(open.len())],
+            Pick::RoundRobin => {
+                self.turn += 1;
+                open[self.turn % open.len()]
+            }
+            Pick::LessBusy => {
+                let two = [self.draw.below(open.len()), self.draw.below(open.len())].map(|i| open[i]);
+                if self.out[two[1]] < self.out[two[0]] {
+                    two[1]
+                } else {
+                    two[0]
+                }
+            }
+            Pick::Shortest => {
+                let profile = usize::from(task.command.profile.0);
+                let (work, goal) = (self.works[profile], self.goals[profile]);
+                let start = self.draw.below(open.len());
+                let mut best = (f64::MAX, None);
+                for k in 0..open.len() {
+                    let i = open[(start + k) % open.len()];
+                    let b = &fleet.backends[i];
+                    let full = b.held() as f64 >= b.cores() * (1.0 + b.kind.queue);
+                    if !b.up || b.cut || b.draining || full || b.rate() <= 0.0 || b.would_fall(now, work) {
+                        continue;
+                    }
+                    let wait = if (b.held() as f64) < b.cores() { 0.0 } else { b.ahead() / b.cores() };
+                    let took = (wait + work) / b.rate();
+                    if took < best.0 {
+                        best = (took, Some(i));
+                    }
+                }
+                let left = (task.command.arrived + goal).since(now).micros();
+                return best.1.filter(|_| best.0 <= left);
+            }
+        })
+    }
+
+    fn end(&mut self, task: &mut Task) -> Say {
+        if task.out() > 0 {
+            return Say::NotYet;
+        }
+        task.command.closed = true;
+        let effect = self.effects[usize::from(task.command.profile.0)];
+        let harmless = effect == EffectOf::Repeatable || task.sent.iter().all(|s| s.fate == Fate::NotRun);
+        if harmless {
+            Say::TurnBack(self.come_back)
+        } else {
+            Say::Errored
+        }
+    }
+}
+
+impl Policy for Simple {
+    fn place(&mut self, now: Moment, _: Hand, task: &mut Task, fleet: &Fleet) -> Say {
+        if task.command.closed || task.out() > 0 {
+            return Say::NotYet;
+        }
+        match self.choose(now, task, fleet) {
+            Some(i) => {
+                self.out[i] += 1;
+                Say::Launch(BackendId(i as u32))
+            }
+            None => self.end(task),
+        }
+    }
+
+    fn after(
+        &mut self,
+        now: Moment,
+        hand: Hand,
+        task: &mut Task,
+        n: u8,
+        outcome: Outcome,
+        fleet: &Fleet,
+    ) -> Say {
+        self.out[task.sent[usize::from(n)].backend] -= 1;
+        if task.command.closed || outcome == Outcome::Finished {
+            return Say::NotYet;
+        }
+        let effect = self.effects[usize::from(task.command.profile.0)];
+        let harmless = effect == EffectOf::Repeatable || outcome.proves_not_run();
+        if harmless && task.sent.len() < self.most && now < task.command.ends {
+            return self.place(now, hand, task, fleet);
+        }
+        self.end(task)
+    }
+
+    fn wait(&self, now: Moment, task: Option<&Task>) -> Option<Span> {
+        (task.is_none() && self.follow).then(|| self.follow_at.since(now))
+    }
+
+    fn dropped(&mut self, task: &mut Task) {
+        task.command.closed = true;
+    }
+
+    fn list(&mut self, now: Moment, kind: ListKind, lines: &[Listed]) {
+        match kind {
+            ListKind::Failed => {
+                self.follow = true;
+                self.follow_at = now + Span(self.ask_within.0.min(1_000_000) / 4);
+                return;
+            }
+            ListKind::Whole | ListKind::Changes => self.follow = false,
+            ListKind::Cached => {}
+        }
+        if kind != ListKind::Changes {
+            self.listed.clear();
+        }
+        for line in lines {
+            match self.listed.iter_mut().find(|l| l.backend == line.backend) {
+                Some(old) => *old = *line,
+                None => self.listed.push(*line),
+            }
+            self.out.resize(self.out.len().max(line.backend.0 as usize + 1), 0);
+        }
+        let ready = self.listed.iter().filter(|l| l.state == State::Ready);
+        self.ready = ready.map(|l| l.backend.0 as usize).collect();
+    }
+
+    fn report(&mut self, _: Moment, _: BackendId, _: bool, _: Span, _: &[f32]) {}
+
+    fn errand(&mut self, now: Moment) -> Option<Errand> {
+        if self.follow && now >= self.follow_at {
+            self.follow_at = now + self.ask_within.scaled(0.5);
+            return Some(Errand::Follow);
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/real/clients.rs
@@ -0,0 +1,240 @@
+//! The clients: commands go out when they are due, whatever became of those before.
+
+use crate::draw::{Draw, Stream};
+use crate::judge::{Ending, Final, Seen};
+use crate::model::arrivals::{Arrivals, Wanted};
+use crate::model::clients::{again, TryEnd};
+use crate::real::backends::ID;
+use crate::real::nodes::Crew;
+use crate::real::stage::{Sent, Stage};
+use crate::scenario::EffectOf;
+use crate::span::Time;
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::{spawn_local, JoinSet};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
+use yarrowfront::times::Span;
+
+/// A client waits so much longer than it said: an answer on its way still counts.
+const PATIENCE: Duration = Duration::from_millis(60);
+/// For a connection to a node.
+const DIAL: Duration = Duration::from_secs(1);
+
+type Sender = SendRequest<Full<Bytes>>;
+
+pub struct Crowd {
+    stage: Rc<Stage>,
+    crew: Crew,
+    seed: u64,
+    draw: RefCell<Draw>,
+    /// Open connections without a command, by node; the last one used last.
+    idle: RefCell<Vec<Vec<Sender>>>,
+    tries: Cell<u64>,
+}
+
+impl Crowd {
+    pub fn new(stage: Rc<Stage>, crew: Crew, seed: u64) -> Rc<Crowd> {
+        let nodes = stage.scenario.nodes as usize;
+        let idle = RefCell::new((0..nodes).map(|_| Vec::new()).collect());
+        let draw = RefCell::new(Draw::new(seed, Stream::Clients));
+        Rc::new(Crowd { stage, crew, seed, draw, idle, tries: Cell::new(0) })
+    }
+
+    /// Plays all arrivals to their ends. Returns by how many microseconds each went out late.
+    pub async fn run(self: Rc<Self>) -> Histogram<u64> {
+        let mut late = Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds that hold");
+        let scenario = self.stage.scenario.clone();
+        let mut all = JoinSet::new();
+        for wanted in Arrivals::new(&scenario, self.seed) {
+            let due = Time(wanted.due.0);
+            sleep(self.stage.until(due)).await;
+            let at = self.stage.moment(due);
+            late.saturating_record(self.stage.now().since(at).0.max(1));
+            let (command, profile) = (wanted.number, wanted.profile);
+            self.stage.see(Seen::Due { command, profile, at });
+            all.spawn_local(self.clone().command(wanted));
+        }
+        while all.join_next().await.is_some() {}
+        late
+    }
+
+    async fn command(self: Rc<Self>, wanted: Wanted) {
+        let mut tries = 0;
+        let ending = loop {
+            tries += 1;
+            let end = self.attempt(&wanted, tries).await;
+            let Some(end) = end else { break Ending::Left };
+            let pause = {
+                let mut draw = self.draw.borrow_mut();
+                again(&self.stage.scenario, wanted.profile, tries, end, &mut draw)
+            };
+            match (pause, end) {
+                (Some(pause), _) => sleep(Duration::from_micros(pause.0)).await,
+                (None, TryEnd::Finished) => break Ending::Finished,
+                (None, TryEnd::TurnedBack(_)) => break Ending::TurnedBack,
+                (None, TryEnd::Errored) => break Ending::Errored,
+                (None, TryEnd::Lost | TryEnd::Refused) => break Ending::Lost,
+                (None, TryEnd::TimedOut) => break Ending::TimedOut,
+            }
+        };
+        let (command, profile) = (wanted.number, wanted.profile);
+        self.stage.see(Seen::Settled { command, profile, at: self.stage.now(), ending });
+    }
+
+    /// One try; none where the client left before its end.
+    async fn attempt(&self, wanted: &Wanted, tries: u32) -> Option<TryEnd> {
+        let nodes = self.crew.in_front();
+        let draw = if tries == 1 { wanted.front } else { self.draw.borrow_mut().unit() };
+        let Some(&node) = nodes.get((draw * nodes.len() as f64) as usize) else {
+            return Some(TryEnd::Refused);
+        };
+        self.tries.set(self.tries.get() + 1);
+        let attempt = self.tries.get();
+        let (command, profile, work) = (wanted.number, wanted.profile, wanted.work);
+        self.stage.sent(attempt, Sent { command, profile, work, node });
+        let limit = self.stage.scenario.profiles[usize::from(profile)].limit;
+        let until = Instant::now() + limit.duration() + PATIENCE;
+        let leave = self.stage.scenario.clients.leave_after.duration();
+        let leaves = wanted.leaves && leave < limit.duration();
+        let end = if leaves { Instant::now() + leave } else { until };
+        let exchange = self.exchange(node, attempt, wanted, tries > 1);
+        let Ok(answered) = timeout_at(end, exchange).await else {
+            // The future that is dropped here takes its connection along: the node sees its client go.
+            if leaves {
+                self.stage.see(Seen::Left { attempt });
+                return None;
+            }
+            return Some(TryEnd::TimedOut);
+        };
+        let (status, come_back, body) = match answered {
+            Ok(answer) => answer,
+            Err(TryEnd::Lost) => {
+                self.stage.see(Seen::Broken { attempt, at: self.stage.now() });
+                return Some(TryEnd::Lost);
+            }
+            Err(end) => return Some(end),
+        };
+        let (what, end) = match status {
+            StatusCode::OK => (Final::Finished, TryEnd::Finished),
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+                (Final::TurnedBack, TryEnd::TurnedBack(come_back))
+            }
+            _ => (Final::Errored, TryEnd::Errored),
+        };
+        let named = serde_json::from_slice::<serde_json::Value>(&body).ok();
+        let made_for =
+            named.as_ref().and_then(|v| v["try"].as_str()).and_then(|t| u64::from_str_radix(t, 16).ok());
+        self.stage.see(Seen::Answered { attempt, what, made_for, at: self.stage.now() });
+        Some(end)
+    }
+
+    async fn exchange(
+        &self,
+        node: usize,
+        attempt: u64,
+        wanted: &Wanted,
+        repeat: bool,
+    ) -> Result<(StatusCode, Option<Span>, Bytes), TryEnd> {
+        let mut taken = false;
+        // A connection that the node closed as the command went out is tried once more on a new one.
+        for fresh in [false, true] {
+            let old = if fresh { None } else { self.reuse(node) };
+            let reused = old.is_some();
+            let mut sender = match old {
+                Some(sender) => sender,
+                None => self.connect(node).await.ok_or(if taken { TryEnd::Lost } else { TryEnd::Refused })?,
+            };
+            if !std::mem::replace(&mut taken, true) {
+                let (command, profile) = (wanted.number, wanted.profile);
+                let limit = self.stage.scenario.profiles[usize::from(profile)].limit.span();
+                let at = self.stage.now();
+                let until = at + limit;
+                self.stage.see(Seen::Taken { attempt, command, profile, node, at, until });
+            }
+            match sender.send_request(self.request(attempt, wanted, repeat)).await {
+                Ok(response) => {
+                    let answer = read(response).await.ok_or(TryEnd::Lost)?;
+                    let idle = &mut self.idle.borrow_mut()[node];
+                    if idle.len() < 256 {
+                        idle.push(sender);
+                    }
+                    return Ok(answer);
+                }
+                Err(_) if reused => {}
+                Err(_) => return Err(TryEnd::Lost),
+            }
+        }
+        Err(TryEnd::Lost)
+    }
+
+    fn reuse(&self, node: usize) -> Option<Sender> {
+        let idle = &mut self.idle.borrow_mut()[node];
+        while let Some(sender) = idle.pop() {
+            if sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    async fn connect(&self, node: usize) -> Option<Sender> {
+        let stream =
+            timeout(DIAL, TcpStream::connect(("127.0.0.1", self.crew.port(node)))).await.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+        spawn_local(async move {
+            let _ = connection.await;
+        });
+        Some(sender)
+    }
+
+    fn request(&self, attempt: u64, wanted: &Wanted, repeat: bool) -> Request<Full<Bytes>> {
+        let profile = &self.stage.scenario.profiles[usize::from(wanted.profile)];
+        let reads = profile.effect == EffectOf::Repeatable;
+        let body = if reads { Bytes::new() } else { Bytes::from(format!("command {}", wanted.number)) };
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = if reads { Method::GET } else { Method::POST };
+        *request.uri_mut() = hyper::Uri::from_static("/api");
+        let mut put = |name: &'static str, value: String| {
+            if let Ok(value) = value.parse() {
+                request.headers_mut().insert(name, value);
+            }
+        };
+        put("host", "origin.svc".into());
+        put(ID, format!("{attempt:016x}"));
+        put("x-service-class", profile.name.clone());
+        put("x-time-left-ms", (profile.limit.0 / 1000).to_string());
+        if profile.effect == EffectOf::Tagged {
+            // The same with every try of a command.
+            put("idempotency-key", format!("{:032x}", wanted.number));
+        }
+        if let Some(customer) = self.stage.scenario.customers.get(wanted.customer as usize) {
+            put("x-account", customer.name.clone());
+        }
+        if let Some(hint) = wanted.hint {
+            put("x-weight-hint", (hint as u64).to_string());
+        }
+        if repeat && self.stage.scenario.clients.mark_repeats {
+            put("x-repeat", "1".into());
+        }
+        request
+    }
+}
+
+async fn read(response: Response<Incoming>) -> Option<(StatusCode, Option<Span>, Bytes)> {
+    let (head, body) = response.into_parts();
+    let told =
+        head.headers.get("retry-after").and_then(|v| v.to_str().ok()).and_then(|v| v.parse::<f64>().ok());
+    let come_back = told.filter(|s| (0.0..3600.0).contains(s)).map(|s| Span((s * 1e6) as u64));
+    let body = body.collect().await.ok()?.to_bytes();
+    Some((head.status, come_back, body))
+}
--- /dev/null
+++ b/crates/rehearsal/src/real/mod.rs
@@ -0,0 +1,119 @@
+//! The real clock: the same model behind loopback sockets, around real `yarrowfront` processes.
+
+mod backends;
+mod clients;
+mod discovery;
+mod nodes;
+mod stage;
+
+use crate::judge::result::Played;
+use crate::judge::Judges;
+use crate::model::troubles::{timeline, Step};
+use crate::scenario::Scenario;
+use crate::span::Time;
+use hdrhistogram::Histogram;
+use stage::Stage;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::sleep;
+
+/// How real processes are to be run.
+#[derive(Clone, Debug)]
+pub struct Means {
+    /// The node's program.
+    pub program: PathBuf,
+    /// Where the nodes' logs are kept; nowhere if not told.
+    pub logs: Option<PathBuf>,
+}
+
+/// What goes out later than this, one command in a hundred, is the machine's fault and not a node's: a fifth of
+/// the shortest goal time, and 20 ms at most.
+fn bearable(scenario: &Scenario) -> Duration {
+    let goal = scenario.profiles.iter().map(|p| p.goal).min().unwrap_or(Time::millis(100));
+    Duration::from_micros(goal.0 / 5).min(Duration::from_millis(20))
+}
+
+/// Plays a scenario around real nodes. An error is a fault of the machine or of what is asked for; what a node
+/// does wrong is in the result.
+pub fn play(
+    scenario: &Scenario,
+    seed: u64,
+    means: &Means,
+    progress: &mut dyn FnMut(u64),
+) -> Result<(Played, Judges), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+    LocalSet::new().block_on(&runtime, async {
+        tokio::select! {
+            played = run(scenario, seed, means, progress) => played,
+            // Whatever was started goes down with the future that holds it.
+            _ = tokio::signal::ctrl_c() => Err("stopped by Ctrl-C; all nodes are ended".into()),
+        }
+    })
+}
+
+async fn run(
+    scenario: &Scenario,
+    seed: u64,
+    means: &Means,
+    progress: &mut dyn FnMut(u64),
+) -> Result<(Played, Judges), String> {
+    let folder = tempfile::tempdir().map_err(|e| format!("a folder for the nodes' files: {e}"))?;
+    let stage = Stage::new(scenario, seed);
+    for i in 0..stage.backends() {
+        backends::start(&stage, i).await?;
+    }
+    let crew = nodes::Crew::new(&stage, means, folder.path().to_owned()).await?;
+    crew.start_all().await?;
+    stage.begin();
+    let troubles = spawn_local(run_troubles(stage.clone(), timeline(scenario, seed), crew.clone()));
+    let crowd = clients::Crowd::new(stage.clone(), crew.clone(), seed);
+    let driven = spawn_local(crowd.run());
+    let seconds = scenario.length.0.div_ceil(1_000_000);
+    for second in 1..=seconds {
+        sleep(stage.until(Time::seconds(second.min(scenario.length.0 / 1_000_000)))).await;
+        progress(second);
+    }
+    let late = driven.await.map_err(|e| format!("the clients: {e}"))?;
+    troubles.abort();
+    let processes = crew.end_all().await;
+    let mut judges = stage.end();
+    let now = stage.now();
+    judges.rules.end(now);
+    let mut played = Played::of(scenario, &judges, "yarrowfront", "real", seed);
+    played.processes = processes;
+    played.void = void(scenario, &late, stage.fault());
+    Ok((played, judges))
+}
+
+fn void(scenario: &Scenario, late: &Histogram<u64>, fault: Option<String>) -> Option<String> {
+    let (bound, seen) = (bearable(scenario), Duration::from_micros(late.value_at_quantile(0.99)));
+    if seen > bound {
+        return Some(format!(
+            "this machine is too slow for the load: one command in a hundred went out {seen:.1?} late, \
+             {bound:.1?} can be borne"
+        ));
+    }
+    fault
+}
+
+async fn run_troubles(stage: Rc<Stage>, steps: Vec<(Time, Step)>, crew: nodes::Crew) {
+    for (at, step) in steps {
+        sleep(stage.until(at)).await;
+        match step {
+            Step::StopNode(node) => crew.stop(node),
+            Step::KillNode(node) => crew.kill(node),
+            Step::StartNode(node) => {
+                let (crew, stage) = (crew.clone(), stage.clone());
+                spawn_local(async move {
+                    if let Err(why) = crew.start(node).await {
+                        stage.fail(why);
+                    }
+                });
+            }
+            step => stage.step(step),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/real/nodes.rs
@@ -0,0 +1,241 @@
+//! The nodes: real processes, started, stopped and killed by plan. None outlives the rehearsal.
+
+use crate::draw::{Draw, Stream};
+use crate::judge::result::Process;
+use crate::judge::Seen;
+use crate::model::settings::settings;
+use crate::real::stage::Stage;
+use crate::real::{discovery, Means};
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use serde_json::json;
+use std::cell::{Cell, RefCell};
+use std::fs::File;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::process::{Child, Command};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout, Instant};
+
+/// A node that does not take commands so long after its start has failed.
+const START: Duration = Duration::from_secs(10);
+/// What a node may take beyond the longest time limit to end after SIGTERM.
+const STOP: Duration = Duration::from_millis(1500);
+
+/// A process at its place.
+struct Life {
+    pid: i32,
+    /// Whether it was asked to end, so that its end is no crash.
+    asked: Rc<Cell<bool>>,
+    ended: watch::Receiver<bool>,
+}
+
+struct Place {
+    port: u16,
+    config: PathBuf,
+    in_front: Cell<bool>,
+    life: RefCell<Option<Life>>,
+    /// Counted up with every start.
+    lives: Cell<u32>,
+    seen: RefCell<Process>,
+}
+
+struct Inner {
+    stage: Rc<Stage>,
+    means: Means,
+    places: Vec<Place>,
+}
+
+#[derive(Clone)]
+pub struct Crew(Rc<Inner>);
+
+/// A port that was free a moment ago.
+fn free_port() -> Result<u16, String> {
+    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).map_err(|e| format!("no free port: {e}"))?;
+    Ok(listener.local_addr().map_err(|e| e.to_string())?.port())
+}
+
+impl Crew {
+    pub async fn new(stage: &Rc<Stage>, means: &Means, folder: PathBuf) -> Result<Crew, String> {
+        let mut places = Vec::new();
+        for node in 0..stage.scenario.nodes as usize {
+            let port = free_port()?;
+            let discovery = discovery::start(stage, node).await?;
+            let zone = node as u16 % stage.scenario.zones;
+            let seed = Draw::numbered(0, Stream::Nodes, node as u64).number();
+            let config = json!({
+                "name": format!("n{node}"), "listen": format!("127.0.0.1:{port}"),
+                "discovery": format!("127.0.0.1:{discovery}"), "seed": format!("{seed:016x}"),
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                "known": stage.whole(), "settings": settings(&stage.scenario, zone),
+            });
+            let path = folder.join(format!("n{node}.json"));
+            std::fs::write(&path, config.to_string()).map_err(|e| format!("a node's file: {e}"))?;
+            places.push(Place {
+                port,
+                config: path,
+                in_front: Cell::new(false),
+                life: RefCell::new(None),
+                lives: Cell::new(0),
+                seen: RefCell::new(Process { node, ..Process::default() }),
+            });
+        }
+        Ok(Crew(Rc::new(Inner { stage: stage.clone(), means: means.clone(), places })))
+    }
+
+    pub async fn start_all(&self) -> Result<(), String> {
+        for node in 0..self.0.places.len() {
+            self.start(node).await?;
+        }
+        Ok(())
+    }
+
+    pub fn port(&self, node: usize) -> u16 {
+        self.0.places[node].port
+    }
+
+    /// The nodes that the front sends to.
+    pub fn in_front(&self) -> Vec<usize> {
+        let places = self.0.places.iter().enumerate();
+        places.filter(|(_, p)| p.in_front.get()).map(|(i, _)| i).collect()
+    }
+
+    fn spawn(&self, node: usize) -> Result<Child, String> {
+        let (place, means) = (&self.0.places[node], &self.0.means);
+        let log = match &means.logs {
+            None => Stdio::null(),
+            Some(folder) => {
+                let path = folder.join(format!("n{node}-{}.log", place.lives.get()));
+                std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+                File::create(&path).map_err(|e| format!("{}: {e}", path.display()))?.into()
+            }
+        };
+        let mut command = Command::new(&means.program);
+        for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"] {
+            command.env_remove(name);
+        }
+        command.env("ROUTER_CONFIG", &place.config).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        // Also when the rehearsal fails half-way.
+        command.kill_on_drop(true);
+        command.spawn().map_err(|e| format!("{}: {e}", means.program.display()))
+    }
+
+    /// Starts a node, or restarts one that was stopped, and waits until it takes commands.
+    pub async fn start(&self, node: usize) -> Result<(), String> {
+        self.finish(node).await;
+        let place = &self.0.places[node];
+        let child = self.spawn(node)?;
+        let pid = child.id().ok_or("a node ended at once")? as i32;
+        let (asked, (end, ended)) = (Rc::new(Cell::new(false)), watch::channel(false));
+        place.lives.set(place.lives.get() + 1);
+        *place.life.borrow_mut() = Some(Life { pid, asked: asked.clone(), ended });
+        self.0.stage.see(Seen::Fresh { node });
+        spawn_local(self.clone().mind(node, child, asked, end));
+        let since = Instant::now();
+        while since.elapsed() < START {
+            if self.is_up(node).await {
+                place.in_front.set(true);
+                return Ok(());
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        Err(format!("node {node} does not take commands {} s after its start", START.as_secs()))
+    }
+
+    /// Waits for a process's end, and says so if nobody asked for it.
+    async fn mind(self, node: usize, mut child: Child, asked: Rc<Cell<bool>>, end: watch::Sender<bool>) {
+        let _ = child.wait().await;
+        if !asked.get() {
+            let place = &self.0.places[node];
+            place.in_front.set(false);
+            self.0.stage.see(Seen::Crashed { node, at: self.0.stage.now() });
+        }
+        let _ = end.send(true);
+    }
+
+    async fn is_up(&self, node: usize) -> bool {
+        let ask = async {
+            let mut stream = TcpStream::connect(("127.0.0.1", self.port(node))).await?;
+            stream.write_all(b"GET /up HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n").await?;
+            let mut head = [0; 12];
+            stream.read_exact(&mut head).await?;
+            std::io::Result::Ok(head)
+        };
+        matches!(timeout(Duration::from_millis(500), ask).await, Ok(Ok(head)) if head.ends_with(b"200"))
+    }
+
+    fn signal(&self, node: usize, signal: Signal) {
+        self.measure(node);
+        if let Some(life) = &*self.0.places[node].life.borrow() {
+            life.asked.set(true);
+            let _ = kill(Pid::from_raw(life.pid), signal);
+        }
+    }
+
+    /// A planned stop: the front sends nothing more there.
+    pub fn stop(&self, node: usize) {
+        self.0.places[node].in_front.set(false);
+        self.signal(node, Signal::SIGTERM);
+    }
+
+    /// Killed outright: the front notices after a while.
+    pub fn kill(&self, node: usize) {
+        self.signal(node, Signal::SIGKILL);
+        self.0.stage.see(Seen::Killed { node, at: self.0.stage.now() });
+        let (crew, life) = (self.clone(), self.0.places[node].lives.get());
+        spawn_local(async move {
+            sleep(crew.0.stage.scenario.clients.notice.duration()).await;
+            let place = &crew.0.places[node];
+            if place.lives.get() == life {
+                place.in_front.set(false);
+            }
+        });
+    }
+
+    /// Sees to it that a process which was told to end has ended.
+    async fn finish(&self, node: usize) {
+        let life = self.0.places[node].life.borrow_mut().take();
+        let Some(Life { pid, asked, mut ended }) = life else { return };
+        let limit = self.0.stage.scenario.profiles.iter().map(|p| p.limit).max().unwrap_or_default();
+        let over = async { while !*ended.borrow_and_update() && ended.changed().await.is_ok() {} };
+        if timeout(limit.duration() + STOP, over).await.is_err() {
+            asked.set(true);
+            self.0.stage.see(Seen::Crashed { node, at: self.0.stage.now() });
+            let _ = kill(Pid::from_raw(pid), Signal::SIGKILL);
+        }
+    }
+
+    /// CPU and memory of a process, from what the kernel tells of it.
+    fn measure(&self, node: usize) {
+        let place = &self.0.places[node];
+        let Some(pid) = place.life.borrow().as_ref().map(|l| l.pid) else { return };
+        let read = |name: &str| std::fs::read_to_string(format!("/proc/{pid}/{name}")).unwrap_or_default();
+        let nanos = read("schedstat").split_whitespace().next().and_then(|n| n.parse::<f64>().ok());
+        let most = read("status")
+            .lines()
+            .find_map(|l| l.strip_prefix("VmHWM:")?.trim().strip_suffix("kB")?.trim().parse::<f64>().ok());
+        let mut seen = place.seen.borrow_mut();
+        seen.cpu_s += nanos.unwrap_or(0.0) / 1e9;
+        seen.memory_mb = seen.memory_mb.max(most.unwrap_or(0.0) / 1024.0);
+    }
+
+    /// Stops all nodes, and tells what they took.
+    pub async fn end_all(&self) -> Vec<Process> {
+        let nodes = 0..self.0.places.len();
+        nodes.clone().for_each(|node| {
+            let stopped = self.0.places[node].life.borrow().as_ref().is_some_and(|l| l.asked.get());
+            if !stopped {
+                self.stop(node);
+            }
+        });
+        for node in nodes {
+            self.finish(node).await;
+        }
+        self.0.places.iter().map(|p| p.seen.borrow().clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/real/stage.rs
@@ -0,0 +1,460 @@
+//! What all parts on the real clock share: the model, the judges, the clock. Borrowed within a call and never
+//! across an await.
+
+use crate::draw::{Draw, Stream};
+use crate::judge::{Judges, Seen};
+use crate::model::backend::{Happened, Reply, Tag};
+use crate::model::fleet::{Asked, Fleet};
+use crate::model::settings::zone_name;
+use crate::model::troubles::Step;
+use crate::real::backends;
+use crate::scenario::{EffectOf, Scenario};
+use crate::span::Time;
+use serde_json::{json, Value};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{mpsc, oneshot, watch, Notify};
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+use yarrowfront::decide::{Listed, State};
+use yarrowfront::times::Moment;
+
+/// How a command's stay at a backend ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Stay {
+    Done,
+    Full,
+    Error,
+    /// Its connection is to break off.
+    Broken,
+}
+
+/// A try, as its client sent it.
+#[derive(Clone, Copy)]
+pub struct Sent {
+    pub command: u64,
+    pub profile: u16,
+    pub work: f64,
+    pub node: usize,
+}
+
+struct Job {
+    attempt: u64,
+    backend: usize,
+    breaks: bool,
+    end: oneshot::Sender<Stay>,
+}
+
+/// A backend's doors.
+pub struct Gate {
+    /// Its model may have another next edge.
+    pub turned: Notify,
+    /// Counted up when its connections are reset or its process starts.
+    pub life: watch::Sender<u64>,
+    pub port: Cell<u16>,
+}
+
+/// A line of the list on its way to a node, and when it is due there.
+pub type Line = (Instant, Option<usize>, String);
+
+struct Inner {
+    fleet: Fleet,
+    judges: Option<Judges>,
+    jobs: HashMap<u64, Job>,
+    sent: HashMap<u64, Sent>,
+    next_job: u64,
+    network: Draw,
+    watchers: Vec<Option<mpsc::UnboundedSender<Line>>>,
+    told: Vec<Happened>,
+    gates: Vec<Rc<Gate>>,
+    fault: Option<String>,
+}
+
+pub struct Stage {
+    pub scenario: Rc<Scenario>,
+    /// The instant, and what the machine's clock said then in microseconds since 1970.
+    zero: (Instant, u64),
+    origin: Cell<Moment>,
+    inner: RefCell<Inner>,
+}
+
+impl Stage {
+    pub fn new(scenario: &Scenario, seed: u64) -> Rc<Stage> {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+        let now = Moment(unix);
+        let fleet = Fleet::new(scenario, seed, now);
+        let count = fleet.backends.len();
+        let judges = Some(Judges::new(scenario, now, count));
+        let inner = Inner {
+            fleet,
+            judges,
+            jobs: HashMap::new(),
+            sent: HashMap::new(),
+            next_job: 0,
+            network: Draw::new(seed, Stream::Network),
+            watchers: vec![None; scenario.nodes as usize],
+            told: Vec::new(),
+            gates: (0..count).map(|_| Rc::new(Gate::new())).collect(),
+            fault: None,
+        };
+        Rc::new(Stage {
+            scenario: Rc::new(scenario.clone()),
+            zero: (Instant::now(), unix),
+            origin: Cell::new(now),
+            inner: RefCell::new(inner),
+        })
+    }
+
+    /// The scenario's time starts now: all nodes are up.
+    pub fn begin(&self) {
+        let (now, count) = (self.now(), self.backends());
+        self.origin.set(now);
+        self.inner.borrow_mut().judges = Some(Judges::new(&self.scenario, now, count));
+    }
+
+    pub fn now(&self) -> Moment {
+        Moment(self.zero.1 + self.zero.0.elapsed().as_micros() as u64)
+    }
+
+    pub fn instant(&self, at: Moment) -> Instant {
+        self.zero.0 + Duration::from_micros(at.since(Moment(self.zero.1)).0)
+    }
+
+    pub fn moment(&self, at: Time) -> Moment {
+        self.origin.get() + at.span()
+    }
+
+    /// How long until this time of the scenario.
+    pub fn until(&self, at: Time) -> Duration {
+        Duration::from_micros(self.moment(at).since(self.now()).0)
+    }
+
+    pub fn backends(&self) -> usize {
+        self.inner.borrow().fleet.backends.len()
+    }
+
+    pub fn gate(&self, i: usize) -> Rc<Gate> {
+        self.inner.borrow().gates[i].clone()
+    }
+
+    pub fn is_up(&self, i: usize) -> bool {
+        self.inner.borrow().fleet.backends[i].up
+    }
+
+    pub fn is_cut(&self, i: usize) -> bool {
+        self.inner.borrow().fleet.backends[i].cut
+    }
+
+    /// What a trouble puts on top of each way.
+    pub fn delay(&self) -> Duration {
+        Duration::from_micros(self.inner.borrow().fleet.delay.max(0) as u64)
+    }
+
+    /// A fault of the rehearsal itself: its figures say nothing.
+    pub fn fail(&self, why: String) {
+        self.inner.borrow_mut().fault.get_or_insert(why);
+    }
+
+    pub fn fault(&self) -> Option<String> {
+        self.inner.borrow().fault.clone()
+    }
+
+    pub fn see(&self, seen: Seen) {
+        if let Some(judges) = &mut self.inner.borrow_mut().judges {
+            judges.see(seen);
+        }
+    }
+
+    /// The judges, once all is over; what is seen later counts no more.
+    pub fn end(&self) -> Judges {
+        let judges = self.inner.borrow_mut().judges.take();
+        judges.unwrap_or_else(|| Judges::new(&self.scenario, self.origin.get(), 0))
+    }
+
+    // Commands at backends.
+
+    pub fn sent(&self, attempt: u64, sent: Sent) {
+        self.inner.borrow_mut().sent.insert(attempt, sent);
+    }
+
+    pub fn of(&self, attempt: u64) -> Option<Sent> {
+        self.inner.borrow().sent.get(&attempt).copied()
+    }
+
+    /// A command has come whole. What becomes of it is told on the channel, and its number is for `stop`.
+    pub fn arrive(self: &Rc<Self>, i: usize, attempt: u64, sent: Sent) -> (u64, oneshot::Receiver<Stay>) {
+        let (end, ended) = oneshot::channel();
+        let now = self.now();
+        self.pass(i);
+        let p = &self.scenario.profiles[usize::from(sent.profile)];
+        let mut asked = Vec::new();
+        let key = {
+            let inner = &mut *self.inner.borrow_mut();
+            inner.next_job += 1;
+            let key = inner.next_job;
+            let scope = inner.fleet.scope(p.scope, i);
+            let tag = Tag { scope, tag: sent.command, span: p.memory.span() };
+            let tag = (p.effect == EffectOf::Tagged).then_some(tag);
+            let breaks = inner.network.chance(inner.fleet.resets);
+            inner.jobs.insert(key, Job { attempt, backend: i, breaks, end });
+            let fleet = &mut inner.fleet;
+            let told = &mut inner.told;
+            let reply = fleet.backends[i].arrive(now, (key, sent.work, tag), &mut fleet.memory, told);
+            let stay = match reply {
+                Reply::Taken => None,
+                Reply::Full => Some(Stay::Full),
+                Reply::Error => Some(Stay::Error),
+                Reply::Down => Some(Stay::Broken),
+                Reply::Fell => {
+                    fleet.fall(now, i, &mut asked);
+                    Some(Stay::Broken)
+                }
+            };
+            if let Some(stay) = stay {
+                if let Some(job) = inner.jobs.remove(&key) {
+                    let _ = job.end.send(stay);
+                }
+            }
+            if let Some(judges) = &mut inner.judges {
+                judges.see(Seen::Reached { backend: i, work: sent.work, at: now });
+                if reply == Reply::Fell {
+                    judges.see(Seen::Fell { backend: i, at: now });
+                }
+            }
+            key
+        };
+        self.happened();
+        self.gate(i).turned.notify_one();
+        self.asked_now(asked);
+        (key, ended)
+    }
+
+    /// Its node has closed the connection.
+    pub fn stop(&self, i: usize, key: u64) {
+        if !self.inner.borrow().jobs.contains_key(&key) {
+            return;
+        }
+        self.pass(i);
+        {
+            let inner = &mut *self.inner.borrow_mut();
+            let now = self.now();
+            let (fleet, told) = (&mut inner.fleet, &mut inner.told);
+            fleet.backends[i].stop(now, key, &mut fleet.memory, told);
+        }
+        self.happened();
+        self.gate(i).turned.notify_one();
+    }
+
+    pub fn pass(&self, i: usize) {
+        {
+            let inner = &mut *self.inner.borrow_mut();
+            let now = self.now();
+            let (fleet, told) = (&mut inner.fleet, &mut inner.told);
+            fleet.backends[i].advance(now, &mut fleet.memory, told);
+        }
+        self.happened();
+    }
+
+    fn happened(&self) {
+        let inner = &mut *self.inner.borrow_mut();
+        for one in inner.told.drain(..) {
+            match one {
+                Happened::Began(key, at) => {
+                    let Some(job) = inner.jobs.get(&key) else { continue };
+                    let Some(sent) = inner.sent.get(&job.attempt) else { continue };
+                    let (backend, attempt, command) = (job.backend, job.attempt, sent.command);
+                    let (profile, work) = (sent.profile, sent.work);
+                    if let Some(judges) = &mut inner.judges {
+                        judges.see(Seen::Began { backend, attempt, command, profile, work, at });
+                    }
+                }
+                Happened::Ended(key, _) => {
+                    if let Some(job) = inner.jobs.remove(&key) {
+                        let _ = job.end.send(if job.breaks { Stay::Broken } else { Stay::Done });
+                    }
+                }
+            }
+        }
+    }
+
+    pub fn next(&self, i: usize) -> Option<Moment> {
+        self.inner.borrow().fleet.backends[i].next()
+    }
+
+    pub fn burden(&self, i: usize, connection: bool) {
+        self.pass(i);
+        let b = &mut self.inner.borrow_mut().fleet.backends[i];
+        b.burden(if connection { b.kind.connection_work.micros() } else { b.kind.probe_work.micros() });
+    }
+
+    /// Its load report, if its process does anything at all.
+    pub fn load(&self, i: usize) -> Option<Value> {
+        self.pass(i);
+        let inner = self.inner.borrow();
+        let b = &inner.fleet.backends[i];
+        let silent = b.hung || self.now() < b.stands_until;
+        let busy = (b.held() as f64 / b.cores()).min(1.0);
+        (!silent).then(|| json!({"inflight": b.held(), "queue": b.waiting(), "util": busy}))
+    }
+
+    // Troubles.
+
+    pub fn step(self: &Rc<Self>, step: Step) {
+        let mut asked = Vec::new();
+        if let Step::Hang(i, _) | Step::Slow(i, _) | Step::Stand(i, _) | Step::Die(i) | Step::Drain(i) = step
+        {
+            self.pass(i);
+        }
+        {
+            let inner = &mut *self.inner.borrow_mut();
+            inner.fleet.step(self.now(), step, &mut asked);
+            if step == Step::ListDown {
+                // Watches end when the list goes down.
+                inner.watchers.fill(None);
+            }
+        }
+        self.asked_now(asked);
+    }
+
+    fn asked_now(self: &Rc<Self>, asked: Vec<Asked>) {
+        for one in asked {
+            match one {
+                Asked::Reset(i) => {
+                    let inner = &mut *self.inner.borrow_mut();
+                    if !inner.fleet.backends[i].up {
+                        inner.jobs.retain(|_, job| job.backend != i);
+                    }
+                    inner.gates[i].life.send_modify(|life| *life += 1);
+                }
+                Asked::Publish(at, i) => {
+                    let (stage, at) = (self.clone(), self.instant(at));
+                    spawn_local(async move {
+                        tokio::time::sleep_until(at).await;
+                        stage.publish(i);
+                    });
+                }
+                Asked::Later(at, step) => {
+                    let (stage, at) = (self.clone(), self.instant(at));
+                    spawn_local(async move {
+                        tokio::time::sleep_until(at).await;
+                        stage.step(step);
+                    });
+                }
+                Asked::Started(i) => self.started(i),
+                Asked::Turned(i) => self.gate(i).turned.notify_one(),
+            }
+        }
+    }
+
+    fn started(self: &Rc<Self>, i: usize) {
+        let new = {
+            let inner = &mut *self.inner.borrow_mut();
+            let new = inner.gates.len() <= i;
+            if new {
+                inner.gates.push(Rc::new(Gate::new()));
+            }
+            let b = &inner.fleet.backends[i];
+            let (share, warm, capacity) = (b.kind.cold, b.kind.warm.micros(), b.cores() * b.speed);
+            if let Some(judges) = inner.judges.as_mut().filter(|_| warm > 0.0) {
+                judges.see(Seen::Started { backend: i, at: self.now(), share, warm, capacity });
+            }
+            inner.gates[i].life.send_modify(|life| *life += 1);
+            new
+        };
+        if new {
+            let stage = self.clone();
+            spawn_local(async move {
+                if let Err(why) = backends::start(&stage, i).await {
+                    stage.fail(why);
+                }
+            });
+        }
+    }
+
+    // The list.
+
+    pub fn list_up(&self) -> bool {
+        self.inner.borrow().fleet.list_up
+    }
+
+    fn entry(inner: &Inner, scenario: &Scenario, line: &Listed) -> Value {
+        let i = line.backend.0 as usize;
+        let status = match line.state {
+            State::Ready => "ready",
+            State::Draining => "draining",
+            State::Gone => "gone",
+        };
+        json!({
+            "name": inner.fleet.name(i), "address": format!("127.0.0.1:{}", inner.gates[i].port.get()),
+            "zone": zone_name(line.zone.0), "type": scenario.backends[usize::from(line.kind.0)].kind,
+            "group": line.group.0, "status": status, "weight": 1.0, "since_ms": line.started.0 / 1000,
+        })
+    }
+
+    /// The whole list, in the form in which it is told.
+    pub fn whole(&self) -> Value {
+        let inner = self.inner.borrow();
+        let lines: Vec<Value> =
+            inner.fleet.whole().map(|line| Stage::entry(&inner, &self.scenario, &line)).collect();
+        json!({"index": inner.fleet.changes.len(), "snapshot": true, "endpoints": lines})
+    }
+
+    /// A node watches: the first message holds what has changed since that version.
+    pub fn watch(&self, node: usize, since: usize) -> mpsc::UnboundedReceiver<Line> {
+        let (to, lines) = mpsc::unbounded_channel();
+        let whole = self.whole();
+        let inner = &mut *self.inner.borrow_mut();
+        let index = inner.fleet.changes.len();
+        let mut changed: Vec<usize> = inner.fleet.changes.get(since..).unwrap_or_default().to_vec();
+        changed.sort_unstable();
+        changed.dedup();
+        let text = match since <= index {
+            true if changed.is_empty() => String::new(),
+            true => {
+                let entry = |i: &usize| Stage::entry(inner, &self.scenario, &inner.fleet.said[*i]);
+                let lines: Vec<Value> = changed.iter().map(entry).collect();
+                json!({"index": index, "snapshot": false, "endpoints": lines}).to_string()
+            }
+            false => whole.to_string(),
+        };
+        let _ = to.send((Instant::now(), None, text));
+        inner.watchers[node] = Some(to);
+        lines
+    }
+
+    /// What the judges must know: this node has been told of this backend, or of all (none named).
+    pub fn told(&self, node: usize, backend: Option<usize>) {
+        let (now, inner) = (self.now(), &mut *self.inner.borrow_mut());
+        let all = 0..inner.fleet.said.len();
+        let some = backend.map_or(all, |b| b..b + 1);
+        for i in some {
+            let ready = inner.fleet.said[i].state == State::Ready;
+            if let Some(judges) = &mut inner.judges {
+                judges.see(Seen::Told { node, backend: i, ready, at: now });
+            }
+        }
+    }
+
+    fn publish(&self, i: usize) {
+        let inner = &mut *self.inner.borrow_mut();
+        if !inner.fleet.publish(i) || !inner.fleet.list_up {
+            return;
+        }
+        let entry = Stage::entry(inner, &self.scenario, &inner.fleet.said[i]);
+        let index = inner.fleet.changes.len();
+        let text = json!({"index": index, "snapshot": false, "endpoints": [entry]}).to_string();
+        let trip = self.scenario.list.trip.duration();
+        for watcher in inner.watchers.iter().flatten() {
+            let due = Instant::now() + trip.mul_f64(inner.network.unit());
+            let _ = watcher.send((due, Some(i), text.clone()));
+        }
+    }
+}
+
+impl Gate {
+    fn new() -> Gate {
+        Gate { turned: Notify::new(), life: watch::channel(0).0, port: Cell::new(0) }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/virtual_clock.rs
@@ -0,0 +1,1134 @@
+//! The virtual clock: discrete events drive policies and model in one process. One thread, one order of events:
+//! the same scenario, policy and seed give the same bytes.
+
+use crate::draw::{Draw, Stream};
+use crate::judge::result::Played;
+use crate::judge::{Ending, Final, Judges, Seen};
+use crate::model::arrivals::{Arrivals, Wanted};
+use crate::model::backend::{Happened, Reply, Tag};
+use crate::model::clients::{again, TryEnd};
+use crate::model::fleet::{Asked, Fleet};
+use crate::model::troubles::{timeline, Step};
+use crate::policy::{Birth, Make, Policy, Sent, Task};
+use crate::scenario::{EffectOf, Scenario};
+use slab::Slab;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use yarrowfront::command::{Command, Fate, Outcome};
+use yarrowfront::decide::{Errand, ListKind, Listed, Say, State};
+use yarrowfront::ids::{BackendId, CommandId, CustomerId, Hand, ProfileId};
+use yarrowfront::times::{Moment, Span};
+
+/// Where a scenario's time starts on the clock: moment 0 means "long ago" to the module.
+pub const ORIGIN: Moment = Moment(1_000_000_000);
+/// A client waits so much longer than it said: an answer on its way still counts.
+const PATIENCE: Span = Span::millis(60);
+/// After the last arrival so much may pass until all has ended.
+const AFTERMATH: Span = Span::millis(40_000);
+/// A node waits so long for a probe.
+const PROBE_WAIT: Span = Span::millis(50);
+/// How soon a client sees that its node's process has died.
+const RESET: Span = Span::millis(1);
+
+/// A place in a slab, and whose it was: a later owner of the place is not met by old events.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Ref {
+    key: u32,
+    id: u32,
+}
+
+/// A slab whose places know their owners.
+struct Arena<T> {
+    slab: Slab<(u32, T)>,
+    next: u32,
+}
+
+impl<T> Arena<T> {
+    fn new() -> Arena<T> {
+        Arena { slab: Slab::new(), next: 0 }
+    }
+
+    fn add(&mut self, value: T) -> Ref {
+        self.next += 1;
+        Ref { key: self.slab.insert((self.next, value)) as u32, id: self.next }
+    }
+
+    fn get(&mut self, at: Ref) -> Option<&mut T> {
+        self.slab.get_mut(at.key as usize).filter(|(id, _)| *id == at.id).map(|(_, value)| value)
+    }
+
+    fn remove(&mut self, at: Ref) -> Option<T> {
+        self.get(at)?;
+        Some(self.slab.remove(at.key as usize).1)
+    }
+
+    fn refs(&self) -> Vec<Ref> {
+        self.slab.iter().map(|(key, (id, _))| Ref { key: key as u32, id: *id }).collect()
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Due,
+    /// A client starts a try.
+    Start(Ref),
+    AtNode(Ref),
+    Answer {
+        attempt: Ref,
+        what: u8,
+        come_back: Option<u64>,
+    },
+    /// The client goes: it leaves early, or its time is over.
+    Leave(Ref),
+    Over(Ref),
+    GoneAtNode(Ref),
+    Lost(Ref),
+    Timer {
+        node: u32,
+        life: u32,
+        hand: Option<Ref>,
+    },
+    AtBackend(Ref),
+    Backend {
+        backend: u32,
+        turn: u32,
+    },
+    Back {
+        flight: Ref,
+        outcome: u8,
+    },
+    FlightOver(Ref),
+    ProbeAt {
+        node: u32,
+        life: u32,
+        backend: u32,
+        sent: u64,
+    },
+    ProbeBack {
+        node: u32,
+        life: u32,
+        backend: u32,
+        sent: u64,
+        report: Option<(u32, u32)>,
+    },
+    Ask {
+        node: u32,
+        life: u32,
+    },
+    Whole {
+        node: u32,
+        life: u32,
+    },
+    Line {
+        node: u32,
+        life: u32,
+        backend: u32,
+    },
+    ListFailed {
+        node: u32,
+        life: u32,
+    },
+    Publish(u32),
+    /// The front sees that a node's process is dead.
+    Notice {
+        node: u32,
+        life: u32,
+    },
+    Step(u32),
+}
+
+const FINALS: [Final; 3] = [Final::Finished, Final::TurnedBack, Final::Errored];
+const OUTCOMES: [Outcome; 6] = [
+    Outcome::Finished,
+    Outcome::Errored,
+    Outcome::Full,
+    Outcome::Unreachable,
+    Outcome::Broken,
+    Outcome::TimedOut,
+];
+
+fn code<T: PartialEq>(all: &[T], one: T) -> u8 {
+    all.iter().position(|o| *o == one).unwrap_or_default() as u8
+}
+
+struct Want {
+    wanted: Wanted,
+    tries: u32,
+}
+
+struct Try {
+    want: Ref,
+    node: usize,
+    life: u32,
+    number: u64,
+    until: Moment,
+    /// Its place in the node's hand while it is there.
+    hand: Option<Ref>,
+    /// Whether its client still waits.
+    open: bool,
+}
+
+/// One launch on its way, from both ends.
+struct Flight {
+    attempt: u64,
+    command: u64,
+    profile: u16,
+    work: f64,
+    tag: Option<(u64, Span)>,
+    node: usize,
+    life: u32,
+    hand: Ref,
+    number: u8,
+    backend: usize,
+    sent: Moment,
+    /// On a new connection.
+    new: bool,
+    breaks: bool,
+    node_done: bool,
+    backend_done: bool,
+}
+
+struct Held {
+    task: Task,
+    attempt: Ref,
+    /// Kept here too: its client may have gone and want nothing any more.
+    command: u64,
+    work: f64,
+    armed: Option<Moment>,
+}
+
+struct Node {
+    policy: Box<dyn Policy>,
+    zone: u16,
+    up: bool,
+    /// The front sends to it.
+    in_front: bool,
+    life: u32,
+    hands: Arena<Held>,
+    armed: Option<Moment>,
+    /// Idle connections by backend.
+    idle: Vec<u16>,
+    follows: bool,
+    told_until: Moment,
+    lives: u32,
+}
+
+struct World<'a> {
+    scenario: &'a Scenario,
+    make: &'a Make<'a>,
+    seed: u64,
+    now: Moment,
+    events: BinaryHeap<Reverse<(Moment, u64, Event)>>,
+    sequence: u64,
+    arrivals: Arrivals<'a>,
+    next: Option<Wanted>,
+    fleet: Fleet,
+    turns: Vec<(u32, Option<Moment>)>,
+    reports: Vec<(Moment, u32, u32)>,
+    steps: Vec<Step>,
+    nodes: Vec<Node>,
+    wants: Arena<Want>,
+    tries: Arena<Try>,
+    flights: Arena<Flight>,
+    tried: u64,
+    network: Draw,
+    clients: Draw,
+    judges: Judges,
+    told: Vec<Happened>,
+    asked: Vec<Asked>,
+}
+
+/// Plays a scenario with the policies that `make` gives to its nodes. `progress` is told of each second.
+pub fn play(
+    scenario: &Scenario,
+    seed: u64,
+    name: &str,
+    make: &Make,
+    progress: &mut dyn FnMut(u64),
+) -> Result<(Played, Judges), String> {
+    let mut world = World::new(scenario, seed, make)?;
+    world.run(progress)?;
+    let mut played = Played::of(scenario, &world.judges, name, "virtual", seed);
+    played.rules = world.judges.rules.broken.clone();
+    Ok((played, world.judges))
+}
+
+impl<'a> World<'a> {
+    fn new(scenario: &'a Scenario, seed: u64, make: &'a Make<'a>) -> Result<World<'a>, String> {
+        let fleet = Fleet::new(scenario, seed, ORIGIN);
+        let count = fleet.backends.len();
+        let mut arrivals = Arrivals::new(scenario, seed);
+        let next = arrivals.next();
+        let mut world = World {
+            scenario,
+            make,
+            seed,
+            now: ORIGIN,
+            events: BinaryHeap::new(),
+            sequence: 0,
+            arrivals,
+            next,
+            fleet,
+            turns: vec![(0, None); count],
+            reports: vec![(Moment(0), 0, 0); count],
+            steps: Vec::new(),
+            nodes: Vec::new(),
+            wants: Arena::new(),
+            tries: Arena::new(),
+            flights: Arena::new(),
+            tried: 0,
+            network: Draw::new(seed, Stream::Network),
+            clients: Draw::new(seed, Stream::Clients),
+            judges: Judges::new(scenario, ORIGIN, count),
+            told: Vec::new(),
+            asked: Vec::new(),
+        };
+        for node in 0..scenario.nodes as usize {
+            let policy = world.policy(node, 0)?;
+            world.nodes.push(Node {
+                policy,
+                zone: node as u16 % scenario.zones,
+                up: true,
+                in_front: true,
+                life: 0,
+                hands: Arena::new(),
+                armed: None,
+                idle: vec![0; count],
+                follows: false,
+                told_until: ORIGIN,
+                lives: 1,
+            });
+            world.cached(node);
+        }
+        for (at, step) in timeline(scenario, seed) {
+            world.later_step(ORIGIN + at.span(), step);
+        }
+        if let Some(due) = world.next.as_ref().map(|n| n.due) {
+            world.at(ORIGIN + Span(due.0), Event::Due);
+        }
+        Ok(world)
+    }
+
+    fn policy(&self, node: usize, life: u32) -> Result<Box<dyn Policy>, String> {
+        let seed = Draw::numbered(self.seed, Stream::Nodes, (node as u64) << 12 | u64::from(life)).number();
+        (self.make)(&Birth { scenario: self.scenario, node, seed, now: self.now })
+    }
+
+    fn at(&mut self, at: Moment, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((at, self.sequence, event)));
+    }
+
+    fn after(&mut self, span: Span, event: Event) {
+        self.at(self.now + span, event);
+    }
+
+    fn later_step(&mut self, at: Moment, step: Step) {
+        self.steps.push(step);
+        self.at(at, Event::Step(self.steps.len() as u32 - 1));
+    }
+
+    fn run(&mut self, progress: &mut dyn FnMut(u64)) -> Result<(), String> {
+        let end = ORIGIN + self.scenario.length.span() + AFTERMATH;
+        let mut second = 0;
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            let quiet = self.next.is_none() && self.wants.slab.is_empty() && self.flights.slab.is_empty();
+            if at > end || quiet {
+                break;
+            }
+            self.now = at;
+            let passed = at.since(ORIGIN).0 / 1_000_000;
+            if passed > second {
+                second = passed;
+                progress(second);
+            }
+            self.event(event)?;
+        }
+        self.judges.rules.end(end);
+        Ok(())
+    }
+
+    fn event(&mut self, event: Event) -> Result<(), String> {
+        match event {
+            Event::Due => self.due(),
+            Event::Start(want) => self.start(want),
+            Event::AtNode(attempt) => self.at_node(attempt),
+            Event::Answer { attempt, what, come_back } => {
+                self.answered(attempt, FINALS[usize::from(what)], come_back.map(Span));
+            }
+            Event::Leave(attempt) => {
+                if let Some(t) = self.tries.get(attempt).filter(|t| t.open) {
+                    let number = t.number;
+                    self.judges.see(Seen::Left { attempt: number });
+                    self.gone(attempt);
+                    self.end_try(attempt, None);
+                }
+            }
+            Event::Over(attempt) => {
+                if self.tries.get(attempt).is_some_and(|t| t.open) {
+                    self.gone(attempt);
+                    self.end_try(attempt, Some(TryEnd::TimedOut));
+                }
+            }
+            Event::GoneAtNode(attempt) => self.gone_at_node(attempt),
+            Event::Lost(attempt) => {
+                if let Some(t) = self.tries.get(attempt).filter(|t| t.open) {
+                    let number = t.number;
+                    self.judges.see(Seen::Broken { attempt: number, at: self.now });
+                    self.end_try(attempt, Some(TryEnd::Lost));
+                }
+            }
+            Event::Timer { node, life, hand } => self.timer(node as usize, life, hand),
+            Event::AtBackend(flight) => self.at_backend(flight),
+            Event::Backend { backend, turn } => {
+                let i = backend as usize;
+                if self.turns[i].0 == turn {
+                    self.turns[i].1 = None;
+                    self.pass(i);
+                    self.arm(i);
+                }
+            }
+            Event::Back { flight, outcome } => self.back(flight, OUTCOMES[usize::from(outcome)]),
+            Event::FlightOver(flight) => self.flight_over(flight),
+            Event::ProbeAt { node, life, backend, sent } => self.probe_at(node, life, backend, sent),
+            Event::ProbeBack { node, life, backend, sent, report } => {
+                let n = &mut self.nodes[node as usize];
+                if n.life == life && n.up {
+                    let trip = self.now.since(Moment(sent));
+                    let values = report.map(|(held, queued)| [held as f32, queued as f32, 0.0]);
+                    let values = values.as_ref().map_or(&[][..], |v| &v[..]);
+                    n.policy.report(self.now, BackendId(backend), report.is_some(), trip, values);
+                    self.upkeep(node as usize);
+                }
+            }
+            Event::Ask { node, life } => {
+                let reply = match self.fleet.list_up {
+                    true => Event::Whole { node, life },
+                    false => Event::ListFailed { node, life },
+                };
+                let trip = self.trip();
+                self.after(trip, reply);
+            }
+            Event::Whole { node, life } => {
+                if !self.fleet.list_up {
+                    self.after(Span(0), Event::ListFailed { node, life });
+                    return Ok(());
+                }
+                if self.alive(node, life) {
+                    let lines: Vec<Listed> = self.fleet.whole().collect();
+                    self.nodes[node as usize].follows = true;
+                    for i in 0..self.fleet.said.len() {
+                        self.tell(node as usize, i);
+                    }
+                    self.nodes[node as usize].policy.list(self.now, ListKind::Whole, &lines);
+                    self.upkeep(node as usize);
+                }
+            }
+            Event::Line { node, life, backend } => {
+                if self.alive(node, life) && self.nodes[node as usize].follows {
+                    let line = self.fleet.said[backend as usize];
+                    self.tell(node as usize, backend as usize);
+                    self.nodes[node as usize].policy.list(self.now, ListKind::Changes, &[line]);
+                    self.upkeep(node as usize);
+                }
+            }
+            Event::ListFailed { node, life } => {
+                if self.alive(node, life) {
+                    self.nodes[node as usize].policy.list(self.now, ListKind::Failed, &[]);
+                    self.upkeep(node as usize);
+                }
+            }
+            Event::Publish(backend) => self.publish(backend as usize),
+            Event::Notice { node, life } => {
+                let n = &mut self.nodes[node as usize];
+                n.in_front &= n.up || n.life != life;
+            }
+            Event::Step(i) => self.step(self.steps[i as usize])?,
+        }
+        Ok(())
+    }
+
+    fn alive(&self, node: u32, life: u32) -> bool {
+        let n = &self.nodes[node as usize];
+        n.up && n.life == life
+    }
+
+    // Clients.
+
+    fn due(&mut self) {
+        let Some(wanted) = self.next.take() else { return };
+        self.next = self.arrivals.next();
+        if let Some(due) = self.next.as_ref().map(|n| n.due) {
+            self.at(ORIGIN + Span(due.0), Event::Due);
+        }
+        let (command, profile) = (wanted.number, wanted.profile);
+        self.judges.see(Seen::Due { command, profile, at: self.now });
+        let want = self.wants.add(Want { wanted, tries: 0 });
+        self.start(want);
+    }
+
+    fn start(&mut self, want: Ref) {
+        let Some(w) = self.wants.get(want) else { return };
+        w.tries += 1;
+        let first = w.tries == 1;
+        let (front, profile, leaves) = (w.wanted.front, w.wanted.profile, w.wanted.leaves);
+        let draw = if first { front } else { self.clients.unit() };
+        let count = self.nodes.iter().filter(|n| n.in_front).count();
+        let chosen = (draw * count as f64) as usize;
+        let node = self.nodes.iter().enumerate().filter(|(_, n)| n.in_front).nth(chosen).map(|(i, _)| i);
+        self.tried += 1;
+        let trip = self.client_trip();
+        let limit = self.scenario.profiles[usize::from(profile)].limit.span();
+        let until = self.now + trip + limit;
+        let life = node.map_or(0, |n| self.nodes[n].life);
+        let number = self.tried;
+        let t = Try { want, node: node.unwrap_or(0), life, number, until, hand: None, open: true };
+        let attempt = self.tries.add(t);
+        if !node.is_some_and(|n| self.nodes[n].up) {
+            self.end_try(attempt, Some(TryEnd::Refused));
+            return;
+        }
+        self.after(trip, Event::AtNode(attempt));
+        self.at(until + PATIENCE, Event::Over(attempt));
+        if leaves {
+            self.after(self.scenario.clients.leave_after.span(), Event::Leave(attempt));
+        }
+    }
+
+    fn client_trip(&mut self) -> Span {
+        let jitter = self.network.exponential(self.scenario.net.jitter.micros());
+        Span(self.scenario.net.client.0 + jitter as u64)
+    }
+
+    fn answered(&mut self, attempt: Ref, what: Final, come_back: Option<Span>) {
+        let Some(t) = self.tries.get(attempt) else { return };
+        let (number, open) = (t.number, t.open);
+        let made_for = (what == Final::Finished).then_some(number);
+        self.judges.see(Seen::Answered { attempt: number, what, made_for, at: self.now });
+        if open {
+            let end = match what {
+                Final::Finished => TryEnd::Finished,
+                Final::TurnedBack => TryEnd::TurnedBack(come_back),
+                Final::Errored => TryEnd::Errored,
+            };
+            self.end_try(attempt, Some(end));
+        }
+    }
+
+    /// The client's part of a try is over; without an end it has left.
+    fn end_try(&mut self, attempt: Ref, end: Option<TryEnd>) {
+        let Some(t) = self.tries.get(attempt) else { return };
+        t.open = false;
+        let (want, hand) = (t.want, t.hand);
+        if hand.is_none() {
+            self.tries.remove(attempt);
+        }
+        let Some(w) = self.wants.get(want) else { return };
+        let (command, profile, tries) = (w.wanted.number, w.wanted.profile, w.tries);
+        let next = end.and_then(|end| again(self.scenario, profile, tries, end, &mut self.clients));
+        if let Some(pause) = next {
+            self.after(pause, Event::Start(want));
+            return;
+        }
+        self.wants.remove(want);
+        let ending = match end {
+            None => Ending::Left,
+            Some(TryEnd::Finished) => Ending::Finished,
+            Some(TryEnd::TurnedBack(_)) => Ending::TurnedBack,
+            Some(TryEnd::Errored) => Ending::Errored,
+            Some(TryEnd::Lost | TryEnd::Refused) => Ending::Lost,
+            Some(TryEnd::TimedOut) => Ending::TimedOut,
+        };
+        self.judges.see(Seen::Settled { command, profile, at: self.now, ending });
+    }
+
+    /// The client closes its connection: its node hears of it a trip later.
+    fn gone(&mut self, attempt: Ref) {
+        let trip = self.client_trip();
+        self.after(trip, Event::GoneAtNode(attempt));
+    }
+
+    // Nodes.
+
+    fn at_node(&mut self, attempt: Ref) {
+        let Some(t) = self.tries.get(attempt) else { return };
+        let (node, number, until, want, life) = (t.node, t.number, t.until, t.want, t.life);
+        if !t.open {
+            self.tries.remove(attempt);
+            return;
+        }
+        if !self.nodes[node].up || self.nodes[node].life != life {
+            self.end_try(attempt, Some(TryEnd::Refused));
+            return;
+        }
+        let Some(w) = self.wants.get(want) else { return };
+        let (wanted, repeat) = (&w.wanted, w.tries > 1);
+        let (command, profile, work) = (wanted.number, wanted.profile, wanted.work);
+        let (id, customer) = (CommandId(number as u32), CustomerId(wanted.customer));
+        let left = until.since(self.now);
+        let mut own = Command::new(id, ProfileId(profile), customer, self.now, left);
+        own.hint = wanted.hint.map(|h| Span(h as u64));
+        own.repeat = repeat && self.scenario.clients.mark_repeats;
+        self.judges.see(Seen::Taken { attempt: number, command, profile, node, at: self.now, until });
+        let held =
+            Held { task: Task { command: own, sent: Vec::new() }, attempt, command, work, armed: None };
+        let hand = self.nodes[node].hands.add(held);
+        if let Some(t) = self.tries.get(attempt) {
+            t.hand = Some(hand);
+        }
+        self.again(node, hand);
+        self.upkeep(node);
+    }
+
+    fn again(&mut self, node: usize, hand: Ref) {
+        let n = &mut self.nodes[node];
+        let Some(held) = n.hands.get(hand) else { return };
+        let say = n.policy.place(self.now, Hand(hand.key), &mut held.task, &self.fleet);
+        self.say(node, hand, say);
+    }
+
+    fn say(&mut self, node: usize, hand: Ref, say: Say) {
+        match say {
+            Say::Launch(backend) => self.launch(node, hand, backend.0 as usize),
+            Say::NotYet => {}
+            Say::TurnBack(span) => {
+                let told = self.scenario.allow.come_back.is_some() && span.0 > 0;
+                self.answer(node, hand, Final::TurnedBack, told.then_some(span.0));
+            }
+            Say::Errored => self.answer(node, hand, Final::Errored, None),
+        }
+        self.settle(node, hand);
+    }
+
+    fn answer(&mut self, node: usize, hand: Ref, what: Final, come_back: Option<u64>) {
+        let Some(held) = self.nodes[node].hands.get(hand) else { return };
+        held.task.command.closed = true;
+        let attempt = held.attempt;
+        let trip = self.client_trip();
+        self.after(trip, Event::Answer { attempt, what: code(&FINALS, what), come_back });
+    }
+
+    /// Lets go of a command that is over, or sets its next timer.
+    fn settle(&mut self, node: usize, hand: Ref) {
+        let n = &mut self.nodes[node];
+        let Some(held) = n.hands.get(hand) else { return };
+        if held.task.command.closed && held.task.out() == 0 {
+            let attempt = held.attempt;
+            n.hands.remove(hand);
+            if let Some(t) = self.tries.get(attempt) {
+                t.hand = None;
+                if !t.open {
+                    self.tries.remove(attempt);
+                }
+            }
+            return;
+        }
+        if let Some(span) = n.policy.wait(self.now, Some(&held.task)) {
+            // A node keeps time by the microsecond at best.
+            let at = self.now + span.max(Span(1));
+            if held.armed != Some(at) {
+                held.armed = Some(at);
+                let life = n.life;
+                self.at(at, Event::Timer { node: node as u32, life, hand: Some(hand) });
+            }
+        }
+    }
+
+    fn timer(&mut self, node: usize, life: u32, hand: Option<Ref>) {
+        if !self.alive(node as u32, life) {
+            return;
+        }
+        match hand {
+            None => self.nodes[node].armed = None,
+            Some(hand) => {
+                let now = self.now;
+                let Some(held) = self.nodes[node].hands.get(hand) else { return };
+                // A later timer of the same command took its place.
+                if held.armed != Some(now) {
+                    return;
+                }
+                held.armed = None;
+                self.again(node, hand);
+            }
+        }
+        self.upkeep(node);
+    }
+
+    fn upkeep(&mut self, node: usize) {
+        while let Some(errand) = self.nodes[node].policy.errand(self.now) {
+            let life = self.nodes[node].life;
+            match errand {
+                Errand::Probe(backend) => {
+                    self.judges.see(Seen::Probed);
+                    let trip = self.way(node, backend.0 as usize);
+                    let (node, backend, sent) = (node as u32, backend.0, self.now.0);
+                    self.after(trip, Event::ProbeAt { node, life, backend, sent });
+                }
+                Errand::Close(backend) => self.nodes[node].idle[backend.0 as usize] = 0,
+                Errand::Follow => {
+                    let trip = self.trip();
+                    self.after(trip, Event::Ask { node: node as u32, life });
+                }
+                Errand::Again(hand) => {
+                    let key = hand.0 as usize;
+                    let id = self.nodes[node].hands.slab.get(key).map(|(id, _)| *id);
+                    if let Some(id) = id {
+                        self.again(node, Ref { key: hand.0, id });
+                    }
+                }
+            }
+        }
+        let n = &mut self.nodes[node];
+        if let Some(span) = n.policy.wait(self.now, None) {
+            let at = self.now + span.max(Span(1));
+            if n.armed.is_none_or(|armed| at < armed) {
+                n.armed = Some(at);
+                let life = n.life;
+                self.at(at, Event::Timer { node: node as u32, life, hand: None });
+            }
+        }
+    }
+
+    fn gone_at_node(&mut self, attempt: Ref) {
+        let Some(t) = self.tries.get(attempt) else { return };
+        let (node, hand, life) = (t.node, t.hand, t.life);
+        let Some(hand) = hand.filter(|_| self.alive(node as u32, life)) else { return };
+        let n = &mut self.nodes[node];
+        if let Some(held) = n.hands.get(hand).filter(|h| !h.task.command.closed) {
+            n.policy.dropped(&mut held.task);
+            held.task.command.closed = true;
+            self.settle(node, hand);
+            self.upkeep(node);
+        }
+    }
+
+    // Launches.
+
+    /// One way between a node and a backend.
+    fn way(&mut self, node: usize, backend: usize) -> Span {
+        let net = &self.scenario.net;
+        let same = self.nodes[node].zone == self.fleet.backends[backend].zone;
+        let base = if same { net.same.0 } else { net.cross.0 };
+        let jitter = self.network.exponential(net.jitter.micros()) as u64;
+        Span((base + jitter).saturating_add_signed(self.fleet.delay))
+    }
+
+    fn launch(&mut self, node: usize, hand: Ref, backend: usize) {
+        let Some(held) = self.nodes[node].hands.get(hand) else { return };
+        held.task.sent.push(Sent { backend, fate: Fate::Out });
+        let (number, until) = (held.task.sent.len() as u8 - 1, held.task.command.ends);
+        let (command, profile, work) = (held.command, held.task.command.profile.0, held.work);
+        let try_number = u64::from(held.task.command.id.0);
+        let p = &self.scenario.profiles[usize::from(profile)];
+        let tag = (p.effect == EffectOf::Tagged).then(|| (command, p.memory.span()));
+        self.judges.see(Seen::Launched { node, backend, attempt: try_number, at: self.now });
+        let n = &mut self.nodes[node];
+        n.idle.resize(n.idle.len().max(backend + 1), 0);
+        let new = n.idle[backend] == 0;
+        n.idle[backend] = n.idle[backend].saturating_sub(1);
+        let life = n.life;
+        let flight = self.flights.add(Flight {
+            attempt: try_number,
+            command,
+            profile,
+            work,
+            tag,
+            node,
+            life,
+            hand,
+            number,
+            backend,
+            sent: self.now,
+            new,
+            breaks: false,
+            node_done: false,
+            backend_done: false,
+        });
+        let mut way = self.way(node, backend);
+        if new {
+            way = Span(way.0 + 2 * self.way(node, backend).0);
+        }
+        self.after(way, Event::AtBackend(flight));
+        self.at(until, Event::FlightOver(flight));
+    }
+
+    fn at_backend(&mut self, flight: Ref) {
+        let Some(f) = self.flights.get(flight) else { return };
+        let (i, new, work, node_done, sent) = (f.backend, f.new, f.work, f.node_done, f.sent);
+        let (tag, profile) = (f.tag, usize::from(f.profile));
+        let key = u64::from(flight.key) << 32 | u64::from(flight.id);
+        if node_done {
+            // Given up before it was written whole.
+            self.flights.remove(flight);
+            return;
+        }
+        if self.fleet.backends[i].cut {
+            f.backend_done = true;
+            if new {
+                let at = (sent + self.scenario.net.dial.span()).max(self.now);
+                self.at(at, Event::Back { flight, outcome: code(&OUTCOMES, Outcome::Unreachable) });
+            }
+            return;
+        }
+        self.pass(i);
+        if self.fleet.backends[i].up {
+            if new {
+                let burden = self.fleet.backends[i].kind.connection_work.micros();
+                self.fleet.backends[i].burden(burden);
+            }
+            self.judges.see(Seen::Reached { backend: i, work, at: self.now });
+        }
+        let scope = self.scenario.profiles[profile].scope;
+        let tag = tag.map(|(tag, span)| Tag { scope: self.fleet.scope(scope, i), tag, span });
+        let breaks = self.network.chance(self.fleet.resets);
+        let fleet = &mut self.fleet;
+        let reply = fleet.backends[i].arrive(self.now, (key, work, tag), &mut fleet.memory, &mut self.told);
+        let outcome = match reply {
+            Reply::Taken => {
+                if let Some(f) = self.flights.get(flight) {
+                    f.breaks = breaks;
+                }
+                self.happened();
+                self.arm(i);
+                return;
+            }
+            Reply::Full => Outcome::Full,
+            Reply::Error => Outcome::Errored,
+            Reply::Down if new => Outcome::Unreachable,
+            Reply::Down => Outcome::Broken,
+            Reply::Fell => {
+                self.judges.see(Seen::Fell { backend: i, at: self.now });
+                let mut asked = std::mem::take(&mut self.asked);
+                self.fleet.fall(self.now, i, &mut asked);
+                self.asked = asked;
+                self.do_asked();
+                Outcome::Broken
+            }
+        };
+        if let Some(f) = self.flights.get(flight) {
+            f.backend_done = true;
+        }
+        self.come_back(flight, outcome);
+    }
+
+    /// An outcome sets out for its node.
+    fn come_back(&mut self, flight: Ref, outcome: Outcome) {
+        let Some(f) = self.flights.get(flight) else { return };
+        if f.node_done {
+            self.flights.remove(flight);
+            return;
+        }
+        let (node, backend) = (f.node, f.backend);
+        let way = self.way(node, backend);
+        self.after(way, Event::Back { flight, outcome: code(&OUTCOMES, outcome) });
+    }
+
+    /// Lets a backend's time pass to now.
+    fn pass(&mut self, i: usize) {
+        let fleet = &mut self.fleet;
+        fleet.backends[i].advance(self.now, &mut fleet.memory, &mut self.told);
+        self.happened();
+    }
+
+    fn happened(&mut self) {
+        let mut told = std::mem::take(&mut self.told);
+        for one in told.drain(..) {
+            let (key, began) = match one {
+                Happened::Began(key, _) => (key, true),
+                Happened::Ended(key, _) => (key, false),
+            };
+            let flight = Ref { key: (key >> 32) as u32, id: key as u32 };
+            let Some(f) = self.flights.get(flight) else { continue };
+            if began {
+                let (backend, attempt, command) = (f.backend, f.attempt, f.command);
+                let (profile, work) = (f.profile, f.work);
+                self.judges.see(Seen::Began { backend, attempt, command, profile, work, at: self.now });
+                continue;
+            }
+            f.backend_done = true;
+            // A machine that is cut off works on, but nobody hears of it.
+            if self.fleet.backends[f.backend].cut && !f.node_done {
+                continue;
+            }
+            let outcome = if f.breaks { Outcome::Broken } else { Outcome::Finished };
+            self.come_back(flight, outcome);
+        }
+        self.told = told;
+    }
+
+    fn arm(&mut self, i: usize) {
+        let next = self.fleet.backends[i].next().map(|at| at.max(self.now + Span(1)));
+        let (turn, armed) = &mut self.turns[i];
+        if *armed != next {
+            *turn += 1;
+            *armed = next;
+            let turn = *turn;
+            if let Some(at) = next {
+                self.at(at, Event::Backend { backend: i as u32, turn });
+            }
+        }
+    }
+
+    fn back(&mut self, flight: Ref, outcome: Outcome) {
+        let Some(f) = self.flights.get(flight).filter(|f| !f.node_done) else { return };
+        f.node_done = true;
+        let (node, life, hand, number, backend) = (f.node, f.life, f.hand, f.number, f.backend);
+        if f.backend_done {
+            self.flights.remove(flight);
+        }
+        if !self.alive(node as u32, life) {
+            return;
+        }
+        if matches!(outcome, Outcome::Finished | Outcome::Full | Outcome::Errored) {
+            let idle = &mut self.nodes[node].idle[backend];
+            *idle = idle.saturating_add(1);
+        }
+        self.outcome(node, hand, number, outcome);
+    }
+
+    fn outcome(&mut self, node: usize, hand: Ref, number: u8, outcome: Outcome) {
+        let n = &mut self.nodes[node];
+        let Some(held) = n.hands.get(hand) else { return };
+        let proven = outcome.proves_not_run();
+        held.task.sent[usize::from(number)].fate = if proven { Fate::NotRun } else { Fate::MayHaveRun };
+        let finishes = outcome == Outcome::Finished && !held.task.command.closed;
+        held.task.command.closed |= outcome == Outcome::Finished;
+        let say = n.policy.after(self.now, Hand(hand.key), &mut held.task, number, outcome, &self.fleet);
+        if finishes {
+            self.answer(node, hand, Final::Finished, None);
+        }
+        self.say(node, hand, say);
+        self.upkeep(node);
+    }
+
+    /// The command's time is over: its node closes the connection.
+    fn flight_over(&mut self, flight: Ref) {
+        let Some(f) = self.flights.get(flight).filter(|f| !f.node_done) else { return };
+        f.node_done = true;
+        let (node, life, hand, number) = (f.node, f.life, f.hand, f.number);
+        self.call_off(flight);
+        if self.alive(node as u32, life) {
+            self.outcome(node, hand, number, Outcome::TimedOut);
+        }
+    }
+
+    /// The node's end of a launch is closed: its backend may stop with it.
+    fn call_off(&mut self, flight: Ref) {
+        let Some(f) = self.flights.get(flight) else { return };
+        f.node_done = true;
+        let (i, done) = (f.backend, f.backend_done);
+        if done {
+            self.flights.remove(flight);
+            return;
+        }
+        if self.fleet.backends[i].cut || !self.fleet.backends[i].up {
+            return;
+        }
+        self.pass(i);
+        let key = u64::from(flight.key) << 32 | u64::from(flight.id);
+        let held = self.fleet.backends[i].held();
+        let fleet = &mut self.fleet;
+        fleet.backends[i].stop(self.now, key, &mut fleet.memory, &mut self.told);
+        if fleet.backends[i].held() < held {
+            self.flights.remove(flight);
+        }
+        self.happened();
+        self.arm(i);
+    }
+
+    fn probe_at(&mut self, node: u32, life: u32, backend: u32, sent: u64) {
+        let i = backend as usize;
+        let b = &self.fleet.backends[i];
+        let silent = b.cut || b.hung || self.now < b.stands_until;
+        let (mut report, mut way) = (None, self.way(node as usize, i));
+        if silent {
+            way = (Moment(sent) + PROBE_WAIT).since(self.now);
+        } else if self.fleet.backends[i].up {
+            self.pass(i);
+            let b = &mut self.fleet.backends[i];
+            b.burden(b.kind.probe_work.micros());
+            let (at, held, queued) = &mut self.reports[i];
+            if self.now >= *at + b.kind.refresh.span() {
+                (*at, *held, *queued) = (self.now, b.held() as u32, b.waiting() as u32);
+            }
+            report = Some((*held, *queued));
+            self.arm(i);
+        }
+        self.after(way, Event::ProbeBack { node, life, backend, sent, report });
+    }
+
+    // The list.
+
+    fn trip(&mut self) -> Span {
+        self.scenario.list.trip.span().scaled(self.network.unit())
+    }
+
+    fn cached(&mut self, node: usize) {
+        let lines: Vec<Listed> = self.fleet.whole().collect();
+        self.nodes[node].policy.list(self.now, ListKind::Cached, &lines);
+        self.upkeep(node);
+    }
+
+    fn tell(&mut self, node: usize, backend: usize) {
+        let ready = self.fleet.said[backend].state == State::Ready;
+        self.judges.see(Seen::Told { node, backend, ready, at: self.now });
+    }
+
+    fn publish(&mut self, i: usize) {
+        if !self.fleet.publish(i) || !self.fleet.list_up {
+            return;
+        }
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].follows {
+                let trip = self.trip();
+                let n = &mut self.nodes[node];
+                // One watch tells in order.
+                n.told_until = n.told_until.max(self.now + trip);
+                let (at, life) = (n.told_until, n.life);
+                self.at(at, Event::Line { node: node as u32, life, backend: i as u32 });
+            }
+        }
+    }
+
+    // Troubles.
+
+    fn step(&mut self, step: Step) -> Result<(), String> {
+        match step {
+            Step::KillNode(node) if self.nodes[node].up => {
+                let life = self.nodes[node].life;
+                self.kill(node);
+                // The front goes on sending there for a while.
+                let notice = self.scenario.clients.notice.span();
+                self.after(notice, Event::Notice { node: node as u32, life });
+            }
+            Step::StopNode(node) => self.nodes[node].in_front = false,
+            Step::StartNode(node) => self.revive(node)?,
+            _ => {
+                if let Step::Hang(i, _)
+                | Step::Slow(i, _)
+                | Step::Stand(i, _)
+                | Step::Die(i)
+                | Step::Drain(i) = step
+                {
+                    self.pass(i);
+                }
+                let mut asked = std::mem::take(&mut self.asked);
+                self.fleet.step(self.now, step, &mut asked);
+                self.asked = asked;
+                self.do_asked();
+            }
+        }
+        if step == Step::ListDown {
+            for node in 0..self.nodes.len() {
+                if std::mem::take(&mut self.nodes[node].follows) {
+                    let (trip, life) = (self.trip(), self.nodes[node].life);
+                    self.after(trip, Event::ListFailed { node: node as u32, life });
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn do_asked(&mut self) {
+        let mut asked = std::mem::take(&mut self.asked);
+        for one in asked.drain(..) {
+            match one {
+                Asked::Reset(i) => self.reset(i),
+                Asked::Publish(at, i) => self.at(at, Event::Publish(i as u32)),
+                Asked::Later(at, step) => self.later_step(at, step),
+                Asked::Started(i) => {
+                    let count = self.fleet.backends.len();
+                    self.turns.resize(count, (0, None));
+                    self.reports.resize(count, (Moment(0), 0, 0));
+                    let b = &self.fleet.backends[i];
+                    let (share, warm) = (b.kind.cold, b.kind.warm.micros());
+                    let capacity = b.cores() * b.speed;
+                    if warm > 0.0 {
+                        self.judges.see(Seen::Started { backend: i, at: self.now, share, warm, capacity });
+                    }
+                }
+                Asked::Turned(i) => self.arm(i),
+            }
+        }
+        self.asked = asked;
+    }
+
+    /// All connections of a backend are reset.
+    fn reset(&mut self, i: usize) {
+        for node in &mut self.nodes {
+            if let Some(idle) = node.idle.get_mut(i) {
+                *idle = 0;
+            }
+        }
+        let held = self.fleet.backends[i].up;
+        for flight in self.flights.refs() {
+            let now = self.now;
+            let Some(f) = self.flights.get(flight).filter(|f| f.backend == i && f.sent < now) else {
+                continue;
+            };
+            // What is still on its way finds out by itself.
+            f.backend_done |= !held;
+            self.come_back(flight, Outcome::Broken);
+        }
+        self.arm(i);
+    }
+
+    fn kill(&mut self, node: usize) {
+        let n = &mut self.nodes[node];
+        n.up = false;
+        n.follows = false;
+        let life = n.life;
+        n.hands = Arena::new();
+        n.idle.fill(0);
+        self.judges.see(Seen::Killed { node, at: self.now });
+        self.drop_tries(node, life);
+        for flight in self.flights.refs() {
+            if self.flights.get(flight).is_some_and(|f| f.node == node && f.life == life && !f.node_done) {
+                self.call_off(flight);
+            }
+        }
+    }
+
+    fn drop_tries(&mut self, node: usize, life: u32) {
+        for attempt in self.tries.refs() {
+            let Some(t) = self.tries.get(attempt).filter(|t| t.node == node && t.life == life) else {
+                continue;
+            };
+            if t.hand.take().is_some() {
+                if t.open {
+                    self.after(RESET, Event::Lost(attempt));
+                } else {
+                    self.tries.remove(attempt);
+                }
+            }
+        }
+    }
+
+    fn revive(&mut self, node: usize) -> Result<(), String> {
+        if self.nodes[node].up {
+            // It was stopped by plan. What it has not answered by now is lost, and nobody excuses that.
+            let life = self.nodes[node].life;
+            self.nodes[node].up = false;
+            self.drop_tries(node, life);
+            for flight in self.flights.refs() {
+                if self.flights.get(flight).is_some_and(|f| f.node == node && !f.node_done) {
+                    self.call_off(flight);
+                }
+            }
+        }
+        let life = self.nodes[node].lives;
+        let policy = self.policy(node, life)?;
+        let n = &mut self.nodes[node];
+        n.policy = policy;
+        (n.life, n.lives) = (life, life + 1);
+        n.hands = Arena::new();
+        n.idle.fill(0);
+        n.armed = None;
+        n.follows = false;
+        n.up = true;
+        n.in_front = true;
+        self.judges.see(Seen::Fresh { node });
+        self.cached(node);
+        Ok(())
+    }
+}
