Keep the virtual clock's events in a calendar of milliseconds

Need: at 500 nodes a third of the time went into one heap that held mostly time limits seconds ahead.

--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -3,6 +3,7 @@
 //! `experiment`, `report`) to the clocks (`virtual_clock`, `real`), to policies and judges, to the model.
 #![forbid(unsafe_code)]
 
+mod agenda;
 pub mod compare;
 pub mod draw;
 pub mod experiment;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -36,7 +36,7 @@
         seed: u64,
         #[arg(long, value_enum, default_value = "virtual")]
         clock: Clock,
-        /// On the virtual clock: yarrowfront, random, round-robin, less-busy, shortest.
+        /// On the virtual clock: yarrowfront, random, round-robin, less-busy, shortest, sighted.
         #[arg(long, default_value = "yarrowfront")]
         policy: String,
         /// The result, as JSON.
@@ -165,6 +165,7 @@
             let scenario = Scenario::read(&scenario)?;
             let bar = bar(scenario.length.0.div_ceil(1_000_000), "s");
             let mut progress = |second| bar.set_position(second);
+            let since = std::time::Instant::now();
             let (played, judges) = match clock {
                 Clock::Virtual => {
                     let make = |birth: &policy::Birth| policy::make(&name, birth);
@@ -182,6 +183,10 @@
             };
             bar.finish_and_clear();
             print(&played);
+            if matches!(clock, Clock::Virtual) {
+                let took = since.elapsed().as_secs_f64();
+                println!("played in {took:.2} s: {:.0} commands a second", played.commands as f64 / took);
+            }
             if let Some(path) = to {
                 write(&path, &(json(&played)? + "\n"))?;
             }
--- a/crates/rehearsal/src/policy.rs
+++ b/crates/rehearsal/src/policy.rs
@@ -60,7 +60,7 @@
 
 pub type Make<'a> = dyn Fn(&Birth) -> Result<Box<dyn Policy>, String> + Sync + 'a;
 
-pub const NAMES: [&str; 5] = ["yarrowfront", "random", "round-robin", "less-busy", "shortest"];
+pub const NAMES: [&str; 6] = ["yarrowfront", "random", "round-robin", "less-busy", "shortest", "sighted"];
 
 /// The policy of this name for a node that starts.
 pub fn make(name: &str, birth: &Birth) -> Result<Box<dyn Policy>, String> {
@@ -70,6 +70,7 @@
         "round-robin" => Pick::RoundRobin,
         "less-busy" => Pick::LessBusy,
         "shortest" => Pick::Shortest,
+        "sighted" => Pick::Sighted,
         _ => return Err(format!("there is no policy {name:?}: one of {}", NAMES.join(", "))),
     };
     Ok(Box::new(Simple::new(pick, birth)))
@@ -124,8 +125,14 @@
     /// The one that would be done first, with sight of every backend's true state; what nobody would finish
     /// within its goal time is turned back. No real node can know this.
     Shortest,
+    /// The same, which also keeps backends from collapsing and lets in the dearest where not all can be done:
+    /// what a policy that knew everything would reach about.
+    Sighted,
 }
 
+/// The part of the goal time from which on the fleet counts as filling up: enough is left for what is dearer.
+const TIGHT: f64 = 0.4;
+
 /// One that holds nothing, learns nothing and keeps the rules as simply as can be.
 struct Simple {
     pick: Pick,
@@ -137,6 +144,9 @@
     effects: Vec<EffectOf>,
     goals: Vec<Span>,
     works: Vec<f64>,
+    /// Payoff for each microsecond of work, and what a command must bring to be let in at present.
+    density: Vec<f64>,
+    price: f64,
     most: usize,
     come_back: Span,
     follow: bool,
@@ -158,6 +168,8 @@
             effects: scenario.profiles.iter().map(|p| p.effect).collect(),
             goals: scenario.profiles.iter().map(|p| p.goal.span()).collect(),
             works: scenario.profiles.iter().map(|p| p.work.micros()).collect(),
+            density: scenario.profiles.iter().map(|p| p.payoff / p.work.micros()).collect(),
+            price: 0.0,
             most: scenario.allow.launches as usize,
             come_back: scenario.allow.come_back.map_or(Span(0), |t| t.span().scaled(0.2)),
             follow: true,
@@ -186,7 +198,8 @@
                     two[0]
                 }
             }
-            Pick::Shortest => {
+            Pick::Shortest | Pick::Sighted => {
+                let careful = self.pick == Pick::Sighted;
                 let profile = usize::from(task.command.profile.0);
                 let (work, goal) = (self.works[profile], self.goals[profile]);
                 let start = self.draw.below(open.len());
@@ -195,6 +208,8 @@
                     let i = open[(start + k) % open.len()];
                     let b = &fleet.backends[i];
                     let full = b.held() as f64 >= b.cores() * (1.0 + b.kind.queue);
+                    let brink = b.kind.collapse.is_some_and(|c| b.held() as f64 + 1.0 >= c.at * b.cores());
+                    let full = full || careful && brink;
                     if !b.up || b.cut || b.draining || full || b.rate() <= 0.0 || b.would_fall(now, work) {
                         continue;
                     }
@@ -205,11 +220,27 @@
                     }
                 }
                 let left = (task.command.arrived + goal).since(now).micros();
-                return best.1.filter(|_| best.0 <= left);
+                let fits = best.0 <= left;
+                if !careful {
+                    return best.1.filter(|_| fits);
+                }
+                // The price rises while the best place leaves little of the goal time, and falls otherwise.
+                let tight = best.0 > TIGHT * left;
+                let (low, high) = (self.density.iter().copied().fold(f64::MAX, f64::min), self.dearest());
+                self.price = match tight {
+                    true => (self.price * 1.05).clamp(0.5 * low, 1.05 * high),
+                    false => self.price * 0.97,
+                };
+                let dear = self.density[profile] >= self.price;
+                return best.1.filter(|_| fits && (dear || !tight));
             }
         })
     }
 
+    fn dearest(&self) -> f64 {
+        self.density.iter().copied().fold(0.0, f64::max)
+    }
+
     fn end(&mut self, task: &mut Task) -> Say {
         if task.out() > 0 {
             return Say::NotYet;
--- a/crates/rehearsal/src/search.rs
+++ b/crates/rehearsal/src/search.rs
@@ -27,7 +27,7 @@
         let make = |birth: &policy::Birth| policy::make(name, birth);
         virtual_clock::play(scenario, seed, name, &make, &mut |_| ()).map(|(played, _)| played)
     };
-    let (own, sighted) = (play(name)?, play("shortest")?);
+    let (own, sighted) = (play(name)?, play("sighted")?);
     let r = &own.rules;
     let broken = r.answers + r.effects + r.drains + r.pushes + r.crashes;
     Ok(Loss { service: own.service, sighted: sighted.service, broken })
--- a/crates/rehearsal/src/virtual_clock.rs
+++ b/crates/rehearsal/src/virtual_clock.rs
@@ -1,6 +1,7 @@
 //! The virtual clock: discrete events drive policies and model in one process. One thread, one order of events:
 //! the same scenario, policy and seed give the same bytes.
 
+use crate::agenda::Agenda;
 use crate::draw::{Draw, Stream};
 use crate::judge::result::Played;
 use crate::judge::{Ending, Final, Judges, Seen};
@@ -12,8 +13,6 @@
 use crate::policy::{Birth, Make, Policy, Sent, Task};
 use crate::scenario::{EffectOf, Scenario};
 use slab::Slab;
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
 use yarrowfront::command::{Command, Fate, Outcome};
 use yarrowfront::decide::{Errand, ListKind, Listed, Say, State};
 use yarrowfront::ids::{BackendId, CommandId, CustomerId, Hand, ProfileId};
@@ -31,7 +30,7 @@
 const RESET: Span = Span::millis(1);
 
 /// A place in a slab, and whose it was: a later owner of the place is not met by old events.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Ref {
     key: u32,
     id: u32,
@@ -67,7 +66,7 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug)]
 enum Event {
     Due,
     /// A client starts a try.
@@ -201,8 +200,6 @@
     policy: Box<dyn Policy>,
     zone: u16,
     up: bool,
-    /// The front sends to it.
-    in_front: bool,
     life: u32,
     hands: Arena<Held>,
     armed: Option<Moment>,
@@ -218,8 +215,7 @@
     make: &'a Make<'a>,
     seed: u64,
     now: Moment,
-    events: BinaryHeap<Reverse<(Moment, u64, Event)>>,
-    sequence: u64,
+    agenda: Agenda<Event>,
     arrivals: Arrivals<'a>,
     next: Option<Wanted>,
     fleet: Fleet,
@@ -227,6 +223,8 @@
     reports: Vec<(Moment, u32, u32)>,
     steps: Vec<Step>,
     nodes: Vec<Node>,
+    /// Those that the front sends to.
+    front: Vec<usize>,
     wants: Arena<Want>,
     tries: Arena<Try>,
     flights: Arena<Flight>,
@@ -264,8 +262,7 @@
             make,
             seed,
             now: ORIGIN,
-            events: BinaryHeap::new(),
-            sequence: 0,
+            agenda: Agenda::new(ORIGIN),
             arrivals,
             next,
             fleet,
@@ -273,6 +270,7 @@
             reports: vec![(Moment(0), 0, 0); count],
             steps: Vec::new(),
             nodes: Vec::new(),
+            front: (0..scenario.nodes as usize).collect(),
             wants: Arena::new(),
             tries: Arena::new(),
             flights: Arena::new(),
@@ -289,7 +287,6 @@
                 policy,
                 zone: node as u16 % scenario.zones,
                 up: true,
-                in_front: true,
                 life: 0,
                 hands: Arena::new(),
                 armed: None,
@@ -315,8 +312,7 @@
     }
 
     fn at(&mut self, at: Moment, event: Event) {
-        self.sequence += 1;
-        self.events.push(Reverse((at, self.sequence, event)));
+        self.agenda.put(at, event);
     }
 
     fn after(&mut self, span: Span, event: Event) {
@@ -331,7 +327,7 @@
     fn run(&mut self, progress: &mut dyn FnMut(u64)) -> Result<(), String> {
         let end = ORIGIN + self.scenario.length.span() + AFTERMATH;
         let mut second = 0;
-        while let Some(Reverse((at, _, event))) = self.events.pop() {
+        while let Some((at, event)) = self.agenda.take() {
             let quiet = self.next.is_none() && self.wants.slab.is_empty() && self.flights.slab.is_empty();
             if at > end || quiet {
                 break;
@@ -440,8 +436,10 @@
             }
             Event::Publish(backend) => self.publish(backend as usize),
             Event::Notice { node, life } => {
-                let n = &mut self.nodes[node as usize];
-                n.in_front &= n.up || n.life != life;
+                let n = &self.nodes[node as usize];
+                if !n.up && n.life == life {
+                    self.in_front(node as usize, false);
+                }
             }
             Event::Step(i) => self.step(self.steps[i as usize])?,
         }
@@ -473,9 +471,7 @@
         let first = w.tries == 1;
         let (front, profile, leaves) = (w.wanted.front, w.wanted.profile, w.wanted.leaves);
         let draw = if first { front } else { self.clients.unit() };
-        let count = self.nodes.iter().filter(|n| n.in_front).count();
-        let chosen = (draw * count as f64) as usize;
-        let node = self.nodes.iter().enumerate().filter(|(_, n)| n.in_front).nth(chosen).map(|(i, _)| i);
+        let node = self.front.get((draw * self.front.len() as f64) as usize).copied();
         self.tried += 1;
         let trip = self.client_trip();
         let limit = self.scenario.profiles[usize::from(profile)].limit.span();
@@ -1001,7 +997,7 @@
                 let notice = self.scenario.clients.notice.span();
                 self.after(notice, Event::Notice { node: node as u32, life });
             }
-            Step::StopNode(node) => self.nodes[node].in_front = false,
+            Step::StopNode(node) => self.in_front(node, false),
             Step::StartNode(node) => self.revive(node)?,
             _ => {
                 if let Step::Hang(i, _)
@@ -1104,6 +1100,14 @@
         }
     }
 
+    fn in_front(&mut self, node: usize, there: bool) {
+        self.front.retain(|n| *n != node);
+        if there {
+            self.front.push(node);
+            self.front.sort_unstable();
+        }
+    }
+
     fn revive(&mut self, node: usize) -> Result<(), String> {
         if self.nodes[node].up {
             // It was stopped by plan. What it has not answered by now is lost, and nobody excuses that.
@@ -1126,7 +1130,7 @@
         n.armed = None;
         n.follows = false;
         n.up = true;
-        n.in_front = true;
+        self.in_front(node, true);
         self.judges.see(Seen::Fresh { node });
         self.cached(node);
         Ok(())
