Test the rehearsal: rules broken on purpose, closed forms, replay, faulty node processes

Need: a judge that cannot find a broken rule proves nothing. Change: faulty policies and a faulty node program that break each rule; M/M/1 and M/D/1; scenario faults by line and key; replay on one and four threads; ports below the ephemeral range, where nobody's connections take them. The first real run of the faulty nodes had found a port taken twice.

--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod experiment;
 pub mod judge;
 pub mod model;
+pub mod paper;
 pub mod policy;
 pub mod program;
 pub mod real;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -74,6 +74,8 @@
         #[arg(long, value_name = "FILE", default_value = "found/worst.toml")]
         out: PathBuf,
     },
+    /// The model beside the figures of the paper that the design comes from: takes a minute.
+    Paper,
     /// Checks scenario files: names file, line and key of what is wrong.
     Check { scenarios: Vec<PathBuf> },
 }
@@ -178,7 +180,12 @@
                         );
                     }
                     let program = node.map_or_else(program::node, Ok)?;
-                    real::play(&scenario, seed, &real::Means { program, logs }, &mut progress)?
+                    real::play(
+                        &scenario,
+                        seed,
+                        &real::Means { program, logs, arguments: Vec::new() },
+                        &mut progress,
+                    )?
                 }
             };
             bar.finish_and_clear();
@@ -237,6 +244,10 @@
             println!("rules broken {}; as a scenario: {}", small.loss.broken, out.display());
             Ok(if small.loss.broken > 0 { BROKEN } else { 0 })
         }
+        Command::Paper => {
+            print!("{}", rehearsal::paper::tables()?);
+            Ok(0)
+        }
         Command::Check { scenarios } => {
             if scenarios.is_empty() {
                 return Err("name the scenario files to check".into());
--- a/crates/rehearsal/src/real/backends.rs
+++ b/crates/rehearsal/src/real/backends.rs
@@ -1,6 +1,7 @@
 //! Stand-in backends: the model behind sockets, one listener each.
 
 use crate::judge::Seen;
+use crate::real::ports;
 use crate::real::stage::{Stage, Stay};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -22,9 +23,8 @@
 pub const ID: &str = "x-correlation-id";
 
 /// Opens a backend's door and starts its clock.
-pub async fn start(stage: &Rc<Stage>, i: usize) -> Result<(), String> {
-    let listener = bind(0).await?;
-    let port = listener.local_addr().map_err(|e| e.to_string())?.port();
+pub fn start(stage: &Rc<Stage>, i: usize) -> Result<(), String> {
+    let (listener, port) = ports::listen_here()?;
     stage.gate(i).port.set(port);
     spawn_local(door(stage.clone(), i, listener));
     spawn_local(tick(stage.clone(), i));
--- a/crates/rehearsal/src/real/discovery.rs
+++ b/crates/rehearsal/src/real/discovery.rs
@@ -1,5 +1,6 @@
 //! Stand-in discovery: one door for each node, so that it is known who was told what.
 
+use crate::real::ports;
 use crate::real::stage::{Line, Stage};
 use bytes::Bytes;
 use http_body_util::{combinators::UnsyncBoxBody, BodyExt, Full};
@@ -13,7 +14,6 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::{sleep_until, timeout};
@@ -39,9 +39,8 @@
 type Answer = Result<Response<UnsyncBoxBody<Bytes, Infallible>>, &'static str>;
 
 /// Opens discovery's door for a node, and gives its port.
-pub async fn start(stage: &Rc<Stage>, node: usize) -> Result<u16, String> {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).await.map_err(|e| format!("discovery: {e}"))?;
-    let port = listener.local_addr().map_err(|e| e.to_string())?.port();
+pub fn start(stage: &Rc<Stage>, node: usize) -> Result<u16, String> {
+    let (listener, port) = ports::listen_here()?;
     let stage = stage.clone();
     spawn_local(async move {
         while let Ok((stream, _)) = listener.accept().await {
--- a/crates/rehearsal/src/real/mod.rs
+++ b/crates/rehearsal/src/real/mod.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod discovery;
 mod nodes;
+mod ports;
 mod stage;
 
 use crate::judge::result::Played;
@@ -26,6 +27,8 @@
     pub program: PathBuf,
     /// Where the nodes' logs are kept; nowhere if not told.
     pub logs: Option<PathBuf>,
+    /// What the program is started with: nothing for the node.
+    pub arguments: Vec<String>,
 }
 
 /// What goes out later than this, one command in a hundred, is the machine's fault and not a node's: a fifth of
@@ -63,9 +66,9 @@
     let folder = tempfile::tempdir().map_err(|e| format!("a folder for the nodes' files: {e}"))?;
     let stage = Stage::new(scenario, seed);
     for i in 0..stage.backends() {
-        backends::start(&stage, i).await?;
+        backends::start(&stage, i)?;
     }
-    let crew = nodes::Crew::new(&stage, means, folder.path().to_owned()).await?;
+    let crew = nodes::Crew::new(&stage, means, folder.path().to_owned())?;
     crew.start_all().await?;
     stage.begin();
     let troubles = spawn_local(run_troubles(stage.clone(), timeline(scenario, seed), crew.clone()));
--- a/crates/rehearsal/src/real/nodes.rs
+++ b/crates/rehearsal/src/real/nodes.rs
@@ -5,7 +5,7 @@
 use crate::judge::Seen;
 use crate::model::settings::settings;
 use crate::real::stage::Stage;
-use crate::real::{discovery, Means};
+use crate::real::{discovery, ports, Means};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use serde_json::json;
@@ -54,18 +54,13 @@
 #[derive(Clone)]
 pub struct Crew(Rc<Inner>);
 
-/// A port that was free a moment ago.
-fn free_port() -> Result<u16, String> {
-    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).map_err(|e| format!("no free port: {e}"))?;
-    Ok(listener.local_addr().map_err(|e| e.to_string())?.port())
-}
-
 impl Crew {
-    pub async fn new(stage: &Rc<Stage>, means: &Means, folder: PathBuf) -> Result<Crew, String> {
+    pub fn new(stage: &Rc<Stage>, means: &Means, folder: PathBuf) -> Result<Crew, String> {
         let mut places = Vec::new();
         for node in 0..stage.scenario.nodes as usize {
-            let port = free_port()?;
-            let discovery = discovery::start(stage, node).await?;
+            // Free again as soon as this is dropped, and nobody else here is given it.
+            let (_, port) = ports::listen()?;
+            let discovery = discovery::start(stage, node)?;
             let zone = node as u16 % stage.scenario.zones;
             let seed = Draw::numbered(0, Stream::Nodes, node as u64).number();
             let config = json!({
@@ -116,6 +111,7 @@
             }
         };
         let mut command = Command::new(&means.program);
+        command.args(&means.arguments);
         for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"] {
             command.env_remove(name);
         }
@@ -133,6 +129,7 @@
         let pid = child.id().ok_or("a node ended at once")? as i32;
         let (asked, (end, ended)) = (Rc::new(Cell::new(false)), watch::channel(false));
         place.lives.set(place.lives.get() + 1);
+        let at_once = ended.clone();
         *place.life.borrow_mut() = Some(Life { pid, asked: asked.clone(), ended });
         self.0.stage.see(Seen::Fresh { node });
         spawn_local(self.clone().mind(node, child, asked, end));
@@ -142,6 +139,9 @@
                 place.in_front.set(true);
                 return Ok(());
             }
+            if *at_once.borrow() {
+                return Err(format!("node {node} ended at its start: --logs DIR keeps what it said"));
+            }
             sleep(Duration::from_millis(20)).await;
         }
         Err(format!("node {node} does not take commands {} s after its start", START.as_secs()))
--- a/crates/rehearsal/src/real/stage.rs
+++ b/crates/rehearsal/src/real/stage.rs
@@ -364,12 +364,9 @@
             new
         };
         if new {
-            let stage = self.clone();
-            spawn_local(async move {
-                if let Err(why) = backends::start(&stage, i).await {
-                    stage.fail(why);
-                }
-            });
+            if let Err(why) = backends::start(self, i) {
+                self.fail(why);
+            }
         }
     }
 
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -30,9 +30,9 @@
     pub allow: Allow,
     pub backends: Vec<Kind>,
     pub profiles: Vec<Profile>,
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub customers: Vec<Customer>,
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub troubles: Vec<Trouble>,
 }
 
--- a/crates/rehearsal/src/virtual_clock.rs
+++ b/crates/rehearsal/src/virtual_clock.rs
@@ -74,6 +74,7 @@
     AtNode(Ref),
     Answer {
         attempt: Ref,
+        number: u64,
         what: u8,
         come_back: Option<u64>,
     },
@@ -349,8 +350,8 @@
             Event::Due => self.due(),
             Event::Start(want) => self.start(want),
             Event::AtNode(attempt) => self.at_node(attempt),
-            Event::Answer { attempt, what, come_back } => {
-                self.answered(attempt, FINALS[usize::from(what)], come_back.map(Span));
+            Event::Answer { attempt, number, what, come_back } => {
+                self.answered(attempt, number, FINALS[usize::from(what)], come_back.map(Span));
             }
             Event::Leave(attempt) => {
                 if let Some(t) = self.tries.get(attempt).filter(|t| t.open) {
@@ -496,9 +497,9 @@
         Span(self.scenario.net.client.0 + jitter as u64)
     }
 
-    fn answered(&mut self, attempt: Ref, what: Final, come_back: Option<Span>) {
-        let Some(t) = self.tries.get(attempt) else { return };
-        let (number, open) = (t.number, t.open);
+    fn answered(&mut self, attempt: Ref, number: u64, what: Final, come_back: Option<Span>) {
+        // Also one too many, after all was over.
+        let open = self.tries.get(attempt).is_some_and(|t| t.open);
         let made_for = (what == Final::Finished).then_some(number);
         self.judges.see(Seen::Answered { attempt: number, what, made_for, at: self.now });
         if open {
@@ -599,9 +600,9 @@
     fn answer(&mut self, node: usize, hand: Ref, what: Final, come_back: Option<u64>) {
         let Some(held) = self.nodes[node].hands.get(hand) else { return };
         held.task.command.closed = true;
-        let attempt = held.attempt;
+        let (attempt, number) = (held.attempt, u64::from(held.task.command.id.0));
         let trip = self.client_trip();
-        self.after(trip, Event::Answer { attempt, what: code(&FINALS, what), come_back });
+        self.after(trip, Event::Answer { attempt, number, what: code(&FINALS, what), come_back });
     }
 
     /// Lets go of a command that is over, or sets its next timer.
--- /dev/null
+++ b/crates/rehearsal/tests/real.rs
@@ -0,0 +1,136 @@
+//! The real clock: the node and faulty ones as processes on loopback.
+
+use rehearsal::judge::result::Played;
+use rehearsal::program;
+use rehearsal::real::{play, Means};
+use rehearsal::scenario::Scenario;
+use std::path::PathBuf;
+
+/// Quiet enough for any machine.
+const QUIET: &str = r#"
+name = "quiet"
+length = "5s"
+settle = "1s"
+nodes = 2
+load = { per_s = 40 }
+clients = { again = "advised", leaving = 0.05 }
+allow = { probes = true }
+list = { notice = "300ms", add = "200ms" }
+backends = [{ kind = "small", count = 4, warm = "1s" }]
+
+[[profiles]]
+name = "read"
+effect = "repeatable"
+goal = "500ms"
+limit = "1500ms"
+work = "10ms"
+
+[[profiles]]
+name = "mark"
+effect = "tagged"
+scope = "group"
+goal = "500ms"
+limit = "1500ms"
+work = "10ms"
+
+[[profiles]]
+name = "publish"
+effect = "once-only"
+goal = "500ms"
+limit = "1500ms"
+work = "10ms"
+"#;
+
+const TROUBLES: &str = r#"
+[[troubles]]
+kind = "rolling-deploy"
+at = "1s"
+length = "2s"
+share = 0.5
+down = "400ms"
+swap = true
+
+[[troubles]]
+kind = "deaths"
+at = "2s"
+share = 0.25
+down = "1s"
+
+[[troubles]]
+kind = "node-restarts"
+at = "1500ms"
+length = "1s"
+share = 0.5
+down = "2200ms"
+
+[[troubles]]
+kind = "list-outage"
+at = "2500ms"
+length = "1s"
+
+[[troubles]]
+kind = "resets"
+at = "3s"
+length = "1s"
+strength = 0.2
+"#;
+
+fn run(text: &str, program: PathBuf, arguments: &[&str]) -> Played {
+    let scenario = Scenario::parse(text).unwrap_or_else(|(line, why)| panic!("{line}: {why}"));
+    let arguments = arguments.iter().map(|a| a.to_string()).collect();
+    let means = Means { program, logs: None, arguments };
+    play(&scenario, 7, &means, &mut |_| ()).unwrap_or_else(|why| panic!("{why}")).0
+}
+
+/// Several troubles over each other around real nodes break no rule, and every command comes to its end.
+#[test]
+fn the_node_in_overlapping_troubles() {
+    let played = run(&format!("{QUIET}{TROUBLES}"), program::node().expect("the node"), &[]);
+    assert!(!played.rules.any(), "{:?}", played.rules);
+    let ended: u64 =
+        played.latency.values().map(|p| p.finished + p.turned_back + p.errored + p.lost + p.left).sum();
+    let timed_out: u64 = played.latency.values().map(|p| p.timed_out).sum();
+    let asked: u64 = played.latency.values().map(|p| p.asked).sum();
+    assert_eq!(ended + timed_out, asked);
+    assert!(played.latency["read"].finished > 0 && played.launches_per_command > 0.5);
+    assert_eq!(played.processes.len(), 2);
+}
+
+/// Each fault of a node, and which rule the judges find broken: answers, effects, crashes.
+#[test]
+fn faulty_nodes_are_found_out() {
+    let faulty = PathBuf::from(env!("CARGO_BIN_EXE_yarrowfront-faulty"));
+    let text = QUIET.replace("nodes = 2", "nodes = 1").replace("length = \"5s\"", "length = \"4s\"");
+    let cases = [
+        ("none", [false, false, false]),
+        ("crash", [false, false, true]),
+        ("deaf", [false, false, true]),
+        ("lose", [true, false, false]),
+        ("swap", [true, false, false]),
+        ("twice", [false, true, false]),
+    ];
+    // Each in its own thread: they wait more than they work.
+    let played: Vec<Played> = std::thread::scope(|scope| {
+        let start = |fault: &'static str| {
+            let (text, faulty) = (&text, &faulty);
+            scope.spawn(move || run(text, faulty.clone(), &[fault]))
+        };
+        let started: Vec<_> = cases.iter().map(|(fault, _)| start(fault)).collect();
+        started.into_iter().map(|s| s.join().expect("played")).collect()
+    });
+    for ((fault, wanted), played) in cases.iter().zip(played) {
+        let r = &played.rules;
+        let found = [r.answers, r.effects, r.crashes].map(|n| n > 0);
+        // Some clients leave: what a crash takes along is excused, and counted as the crash alone.
+        assert_eq!(&found, wanted, "{fault}: {r:?}");
+    }
+}
+
+/// A program that does not serve at all is an error in words, and nothing is left behind.
+#[test]
+fn a_node_that_does_not_start() {
+    let scenario = Scenario::parse(QUIET).expect("good");
+    let gone = Means { program: "/no/such/node".into(), logs: None, arguments: Vec::new() };
+    let why = play(&scenario, 1, &gone, &mut |_| ()).err().expect("no node");
+    assert!(why.contains("/no/such/node"), "{why}");
+}
