--- a/crates/rehearsal/src/judge/result.rs
+++ b/crates/rehearsal/src/judge/result.rs
@@ -110,7 +110,7 @@
             turned_back_share: service.turned_back as f64 / service.taken.max(1) as f64,
             launches_per_command: each(service.launches),
             probes_per_command: each(service.probes),
-            wasted_share: if service.work > 0.0 { 1.0 - service.work_used / service.work } else { 0.0 },
+            wasted_share: if service.work > 0.0 { (1.0 - service.work_used / service.work).max(0.0) } else { 0.0 },
             processes: Vec::new(),
             seconds: service.seconds.iter().map(|s| (s.asked, s.served, s.turned_back, s.launches)).collect(),
         }
--- a/crates/rehearsal/src/model/fleet.rs
+++ b/crates/rehearsal/src/model/fleet.rs
@@ -1,5 +1,6 @@
 //! All backends, what the list says of them, and what a trouble's step means for them.
 
+use crate::draw::Draw;
 use crate::model::backend::{Backend, Memory};
 use crate::model::troubles::Step;
 use crate::scenario::{Scenario, Scope};
@@ -21,6 +22,15 @@
     Turned(usize),
 }
 
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum OnTheWay {
+    Comes,
+    /// Its connection breaks off.
+    Breaks,
+    /// It never comes, and its connection stays open.
+    Lost,
+}
+
 pub struct Fleet {
     pub backends: Vec<Backend>,
     kinds: Vec<u8>,
@@ -33,6 +43,7 @@
     pub changes: Vec<usize>,
     pub list_up: bool,
     pub resets: f64,
+    pub lost: f64,
     pub delay: i64,
     seed: u64,
     list: crate::scenario::List,
@@ -50,6 +61,7 @@
             changes: Vec::new(),
             list_up: true,
             resets: scenario.net.resets,
+            lost: 0.0,
             delay: 0,
             seed,
             list: scenario.list.clone(),
@@ -127,6 +139,15 @@
         self.said.iter().filter(|l| l.state != State::Gone).copied()
     }
 
+    /// What becomes of an answer on its way.
+    pub fn answer(&self, draw: &mut Draw) -> OnTheWay {
+        match draw.unit() {
+            x if x < self.resets => OnTheWay::Breaks,
+            x if x < self.resets + self.lost => OnTheWay::Lost,
+            _ => OnTheWay::Comes,
+        }
+    }
+
     /// What a step does to the backends. The node's and the list's own steps are the driver's.
     pub fn step(&mut self, now: Moment, step: Step, asked: &mut Vec<Asked>) {
         let noticed = now + self.list.notice.span();
@@ -172,6 +193,7 @@
             Step::ListDown => self.list_up = false,
             Step::ListUp => self.list_up = true,
             Step::Resets(more) => self.resets = (self.resets + more).clamp(0.0, 1.0),
+            Step::LostAnswers(more) => self.lost = (self.lost + more).clamp(0.0, 1.0),
             Step::Delay(more) => self.delay += more,
             _ => {}
         }
--- a/crates/rehearsal/src/model/troubles.rs
+++ b/crates/rehearsal/src/model/troubles.rs
@@ -28,6 +28,7 @@
     ListDown,
     ListUp,
     Resets(f64),
+    LostAnswers(f64),
     Delay(i64),
 }
 
@@ -119,6 +120,10 @@
                 add(at, Step::Resets(trouble.strength));
                 add(end, Step::Resets(-trouble.strength));
             }
+            What::LostAnswers => {
+                add(at, Step::LostAnswers(trouble.strength));
+                add(end, Step::LostAnswers(-trouble.strength));
+            }
             What::Delay => {
                 add(at, Step::Delay(trouble.down.0 as i64));
                 add(end, Step::Delay(-(trouble.down.0 as i64)));
--- a/crates/rehearsal/src/real/backends.rs
+++ b/crates/rehearsal/src/real/backends.rs
@@ -170,6 +170,7 @@
         Stay::Error => Ok(plain(StatusCode::INTERNAL_SERVER_ERROR, "an error")),
         // hyper closes the connection without an answer.
         Stay::Broken => Err("broken off"),
+        Stay::Silent => pending().await,
     }
 }
 
--- a/crates/rehearsal/src/real/mod.rs
+++ b/crates/rehearsal/src/real/mod.rs
@@ -14,9 +14,11 @@
 use crate::span::Time;
 use hdrhistogram::Histogram;
 use stage::Stage;
+use std::future::pending;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::sleep;
 
@@ -51,12 +53,21 @@
     LocalSet::new().block_on(&runtime, async {
         tokio::select! {
             played = run(scenario, seed, means, progress) => played,
-            // Whatever was started goes down with the future that holds it.
-            _ = tokio::signal::ctrl_c() => Err("stopped by Ctrl-C; all nodes are ended".into()),
+            // Whatever was started goes down with the tasks that hold it.
+            why = told_to_stop() => Err(why),
         }
     })
 }
 
+async fn told_to_stop() -> String {
+    let Ok(mut term) = signal(SignalKind::terminate()) else { return pending().await };
+    let word = tokio::select! {
+        _ = tokio::signal::ctrl_c() => "Ctrl-C",
+        _ = term.recv() => "SIGTERM",
+    };
+    format!("stopped by {word}; all nodes are ended")
+}
+
 async fn run(
     scenario: &Scenario,
     seed: u64,
--- a/crates/rehearsal/src/real/stage.rs
+++ b/crates/rehearsal/src/real/stage.rs
@@ -4,7 +4,7 @@
 use crate::draw::{Draw, Stream};
 use crate::judge::{Judges, Seen};
 use crate::model::backend::{Happened, Reply, Tag};
-use crate::model::fleet::{Asked, Fleet};
+use crate::model::fleet::{Asked, Fleet, OnTheWay};
 use crate::model::settings::zone_name;
 use crate::model::troubles::Step;
 use crate::real::backends;
@@ -29,6 +29,8 @@
     Error,
     /// Its connection is to break off.
     Broken,
+    /// Nothing comes of it, and its connection stays open.
+    Silent,
 }
 
 /// A try, as its client sent it.
@@ -43,7 +45,7 @@
 struct Job {
     attempt: u64,
     backend: usize,
-    breaks: bool,
+    answer: OnTheWay,
     end: oneshot::Sender<Stay>,
 }
 
@@ -197,8 +199,8 @@
             let scope = inner.fleet.scope(p.scope, i);
             let tag = Tag { scope, tag: sent.command, span: p.memory.span() };
             let tag = (p.effect == EffectOf::Tagged).then_some(tag);
-            let breaks = inner.network.chance(inner.fleet.resets);
-            inner.jobs.insert(key, Job { attempt, backend: i, breaks, end });
+            let answer = inner.fleet.answer(&mut inner.network);
+            inner.jobs.insert(key, Job { attempt, backend: i, answer, end });
             let fleet = &mut inner.fleet;
             let told = &mut inner.told;
             let reply = fleet.backends[i].arrive(now, (key, sent.work, tag), &mut fleet.memory, told);
@@ -272,7 +274,12 @@
                 }
                 Happened::Ended(key, _) => {
                     if let Some(job) = inner.jobs.remove(&key) {
-                        let _ = job.end.send(if job.breaks { Stay::Broken } else { Stay::Done });
+                        let stay = match job.answer {
+                            OnTheWay::Comes => Stay::Done,
+                            OnTheWay::Breaks => Stay::Broken,
+                            OnTheWay::Lost => Stay::Silent,
+                        };
+                        let _ = job.end.send(stay);
                     }
                 }
             }
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -420,12 +420,14 @@
     Burst,
     /// A share `strength` of the launches breaks off.
     Resets,
+    /// A share `strength` of the answers never comes, on connections that stay open.
+    LostAnswers,
     /// `down` comes on top of each way between nodes and backends.
     Delay,
 }
 
 impl What {
-    pub const ALL: [What; 13] = [
+    pub const ALL: [What; 14] = [
         What::RollingDeploy,
         What::Deaths,
         What::NodeRestarts,
@@ -438,6 +440,7 @@
         What::Errors,
         What::Burst,
         What::Resets,
+        What::LostAnswers,
         What::Delay,
     ];
 
@@ -455,6 +458,7 @@
             What::Errors => "errors",
             What::Burst => "burst",
             What::Resets => "resets",
+            What::LostAnswers => "lost answers",
             What::Delay => "delay",
         }
     }
@@ -634,7 +638,7 @@
             }
             share(&key("share"), trouble.share)?;
             over(&key("strength"), trouble.strength, 0.0, 1000.0)?;
-            if matches!(trouble.kind, What::Errors | What::Resets) {
+            if matches!(trouble.kind, What::Errors | What::Resets | What::LostAnswers) {
                 share(&key("strength"), trouble.strength)?;
             }
             if trouble.zone >= self.zones {
--- a/crates/rehearsal/src/search.rs
+++ b/crates/rehearsal/src/search.rs
@@ -56,7 +56,7 @@
     };
     let strength = match kind {
         What::Slow => unit(draw, 0.1, 0.5),
-        What::Errors | What::Resets => unit(draw, 0.05, 0.5),
+        What::Errors | What::Resets | What::LostAnswers => unit(draw, 0.05, 0.5),
         What::Burst => unit(draw, 1.3, 4.0),
         _ => 1.0,
     };
--- a/crates/rehearsal/src/virtual_clock.rs
+++ b/crates/rehearsal/src/virtual_clock.rs
@@ -8,7 +8,7 @@
 use crate::model::arrivals::{Arrivals, Wanted};
 use crate::model::backend::{Happened, Reply, Tag};
 use crate::model::clients::{again, TryEnd};
-use crate::model::fleet::{Asked, Fleet};
+use crate::model::fleet::{Asked, Fleet, OnTheWay};
 use crate::model::troubles::{timeline, Step};
 use crate::policy::{Birth, Make, Policy, Sent, Task};
 use crate::scenario::{EffectOf, Scenario};
@@ -183,7 +183,7 @@
     sent: Moment,
     /// On a new connection.
     new: bool,
-    breaks: bool,
+    answer: OnTheWay,
     node_done: bool,
     backend_done: bool,
 }
@@ -737,7 +737,7 @@
             backend,
             sent: self.now,
             new,
-            breaks: false,
+            answer: OnTheWay::Comes,
             node_done: false,
             backend_done: false,
         });
@@ -777,13 +777,13 @@
         }
         let scope = self.scenario.profiles[profile].scope;
         let tag = tag.map(|(tag, span)| Tag { scope: self.fleet.scope(scope, i), tag, span });
-        let breaks = self.network.chance(self.fleet.resets);
+        let answer = self.fleet.answer(&mut self.network);
         let fleet = &mut self.fleet;
         let reply = fleet.backends[i].arrive(self.now, (key, work, tag), &mut fleet.memory, &mut self.told);
         let outcome = match reply {
             Reply::Taken => {
                 if let Some(f) = self.flights.get(flight) {
-                    f.breaks = breaks;
+                    f.answer = answer;
                 }
                 self.happened();
                 self.arm(i);
@@ -847,8 +847,12 @@
             if self.fleet.backends[f.backend].cut && !f.node_done {
                 continue;
             }
-            let outcome = if f.breaks { Outcome::Broken } else { Outcome::Finished };
-            self.come_back(flight, outcome);
+            match f.answer {
+                OnTheWay::Comes => self.come_back(flight, Outcome::Finished),
+                OnTheWay::Breaks => self.come_back(flight, Outcome::Broken),
+                OnTheWay::Lost if f.node_done => drop(self.flights.remove(flight)),
+                OnTheWay::Lost => {}
+            }
         }
         self.told = told;
     }
--- a/crates/rehearsal/tests/real.rs
+++ b/crates/rehearsal/tests/real.rs
@@ -1,10 +1,16 @@
 //! The real clock: the node and faulty ones as processes on loopback.
 
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
 use rehearsal::judge::result::Played;
 use rehearsal::program;
 use rehearsal::real::{play, Means};
 use rehearsal::scenario::Scenario;
+use std::io::Read;
 use std::path::PathBuf;
+use std::process::{Command, Stdio};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
 
 /// Quiet enough for any machine.
 const QUIET: &str = r#"
@@ -134,3 +140,45 @@
     let why = play(&scenario, 1, &gone, &mut |_| ()).err().expect("no node");
     assert!(why.contains("/no/such/node"), "{why}");
 }
+
+/// Processes whose environment names this folder: the nodes of one rehearsal.
+fn nodes_of(folder: &std::path::Path) -> usize {
+    let name = folder.display().to_string();
+    let all = std::fs::read_dir("/proc").expect("processes").flatten();
+    all.filter(|process| {
+        let told = std::fs::read(process.path().join("environ")).unwrap_or_default();
+        let told = String::from_utf8_lossy(&told);
+        told.split('\0').any(|v| v.starts_with("ROUTER_CONFIG=") && v.contains(&name))
+    })
+    .count()
+}
+
+/// Ctrl-C and SIGTERM in the middle of a play leave no process behind.
+#[test]
+fn nothing_is_left_after_a_signal() {
+    let node = program::node().expect("the node");
+    for signal in [Signal::SIGINT, Signal::SIGTERM] {
+        let folder = tempfile::tempdir().expect("a folder");
+        let scenario = folder.path().join("quiet.toml");
+        std::fs::write(&scenario, QUIET.replace("length = \"5s\"", "length = \"60s\"")).expect("written");
+        let mut tool = Command::new(env!("CARGO_BIN_EXE_yarrowfront-rehearse"))
+            .args(["play", "--clock", "real", "--node"])
+            .args([&node, &scenario])
+            .env("TMPDIR", folder.path())
+            .stderr(Stdio::piped())
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the tool");
+        let since = Instant::now();
+        while nodes_of(folder.path()) < 2 && since.elapsed() < Duration::from_secs(20) {
+            sleep(Duration::from_millis(20));
+        }
+        assert_eq!(nodes_of(folder.path()), 2, "both nodes run");
+        kill(Pid::from_raw(tool.id() as i32), signal).expect("a signal");
+        assert_eq!(tool.wait().expect("it ends").code(), Some(1));
+        let mut said = String::new();
+        tool.stderr.take().expect("words").read_to_string(&mut said).expect("words");
+        assert!(said.contains("stopped by"), "{said}");
+        assert_eq!(nodes_of(folder.path()), 0, "{signal}");
+    }
+}
