--- a/crates/rehearsal/src/judge/mod.rs
+++ b/crates/rehearsal/src/judge/mod.rs
@@ -3,130 +3,16 @@
 
 pub mod result;
 pub mod rules;
+pub mod seen;
 pub mod service;
 
 use crate::scenario::Scenario;
+use result::Played;
 use rules::Rules;
+pub use seen::{Ending, Final, Seen};
 use service::Service;
 use yarrowfront::times::Moment;
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Final {
-    Finished,
-    TurnedBack,
-    Errored,
-}
-
-/// How a command ended for its client, all its tries together.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Ending {
-    Finished,
-    TurnedBack,
-    Errored,
-    Lost,
-    TimedOut,
-    Left,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Seen {
-    /// A client wants a command done.
-    Due {
-        command: u64,
-        profile: u16,
-        at: Moment,
-    },
-    /// A node has a try of it whole, and `until` when the client waits.
-    Taken {
-        attempt: u64,
-        command: u64,
-        profile: u16,
-        node: usize,
-        at: Moment,
-        until: Moment,
-    },
-    /// The client has gone before its answer.
-    Left {
-        attempt: u64,
-    },
-    /// A whole final answer; `made_for` is the try that the backend's body names.
-    Answered {
-        attempt: u64,
-        what: Final,
-        made_for: Option<u64>,
-        at: Moment,
-    },
-    /// Its client's connection ended without a whole answer.
-    Broken {
-        attempt: u64,
-        at: Moment,
-    },
-    /// No try of the command goes on, and none will start.
-    Settled {
-        command: u64,
-        profile: u16,
-        at: Moment,
-        ending: Ending,
-    },
-    /// A node's first byte of a launch.
-    Launched {
-        node: usize,
-        backend: usize,
-        attempt: u64,
-        at: Moment,
-    },
-    /// A launch has come whole to a backend's process.
-    Reached {
-        backend: usize,
-        work: f64,
-        at: Moment,
-    },
-    /// Its work has begun there and may have its effect.
-    Began {
-        backend: usize,
-        attempt: u64,
-        command: u64,
-        profile: u16,
-        work: f64,
-        at: Moment,
-    },
-    /// The list has written a line to a node.
-    Told {
-        node: usize,
-        backend: usize,
-        ready: bool,
-        at: Moment,
-    },
-    /// A backend's process has started, cold: the share it can do now, the time to the whole, and the work it
-    /// does in a microsecond then.
-    Started {
-        backend: usize,
-        at: Moment,
-        share: f64,
-        warm: f64,
-        capacity: f64,
-    },
-    Fell {
-        backend: usize,
-        at: Moment,
-    },
-    Probed,
-    /// A node's process has been killed or restarted: what it had taken is excused.
-    Killed {
-        node: usize,
-        at: Moment,
-    },
-    /// A node has a new process, which knows nothing of what the one before was told.
-    Fresh {
-        node: usize,
-    },
-    /// A node's process has ended though nobody asked it to, or did not end when asked.
-    Crashed {
-        node: usize,
-        at: Moment,
-    },
-}
-
 /// Both judges.
 pub struct Judges {
     pub rules: Rules,
@@ -138,6 +24,11 @@
         Judges { rules: Rules::new(scenario, origin), service: Service::new(scenario, origin, backends) }
     }
 
+    /// What it has come to.
+    pub fn result(&self, scenario: &Scenario, of: (&str, &str), seed: u64) -> Played {
+        Played::of(scenario, (&self.rules.broken, &self.service), of, seed)
+    }
+
     pub fn see(&mut self, seen: Seen) {
         self.rules.see(&seen);
         self.service.see(&seen);
--- a/crates/rehearsal/src/judge/result.rs
+++ b/crates/rehearsal/src/judge/result.rs
@@ -1,7 +1,7 @@
 //! What a play comes to, as it is printed, kept and compared.
 
 use crate::judge::rules::Broken;
-use crate::judge::Judges;
+use crate::judge::service::Service;
 use crate::scenario::Scenario;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -68,8 +68,12 @@
 }
 
 impl Played {
-    pub fn of(scenario: &Scenario, judges: &Judges, policy: &str, clock: &str, seed: u64) -> Played {
-        let service = &judges.service;
+    pub fn of(
+        scenario: &Scenario,
+        (rules, service): (&Broken, &Service),
+        (policy, clock): (&str, &str),
+        seed: u64,
+    ) -> Played {
         let commands: u64 = service.seconds.iter().map(|s| s.commands).sum();
         let each = |n: u64| n as f64 / commands.max(1) as f64;
         let ms = |micros: u64| micros as f64 / 1e3;
@@ -105,12 +109,16 @@
             worst_5s: service.worst(5),
             void: None,
             commands,
-            rules: judges.rules.broken.clone(),
+            rules: rules.clone(),
             latency: rows.collect(),
             turned_back_share: service.turned_back as f64 / service.taken.max(1) as f64,
             launches_per_command: each(service.launches),
             probes_per_command: each(service.probes),
-            wasted_share: if service.work > 0.0 { (1.0 - service.work_used / service.work).max(0.0) } else { 0.0 },
+            wasted_share: if service.work > 0.0 {
+                (1.0 - service.work_used / service.work).max(0.0)
+            } else {
+                0.0
+            },
             processes: Vec::new(),
             seconds: service.seconds.iter().map(|s| (s.asked, s.served, s.turned_back, s.launches)).collect(),
         }
--- a/crates/rehearsal/src/judge/rules.rs
+++ b/crates/rehearsal/src/judge/rules.rs
@@ -1,6 +1,6 @@
 //! The four rules, counted from what clients and backends saw.
 
-use crate::judge::{Final, Seen};
+use crate::judge::seen::{Final, Seen};
 use crate::scenario::{EffectOf, Scenario, Scope};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap, VecDeque};
--- a/crates/rehearsal/src/judge/service.rs
+++ b/crates/rehearsal/src/judge/service.rs
@@ -1,6 +1,6 @@
 //! How well clients were served: payoff within the goal time over payoff asked for, and what it took.
 
-use crate::judge::{Ending, Final, Seen};
+use crate::judge::seen::{Ending, Final, Seen};
 use crate::scenario::Scenario;
 use hdrhistogram::Histogram;
 use std::collections::HashMap;
--- a/crates/rehearsal/src/real/mod.rs
+++ b/crates/rehearsal/src/real/mod.rs
@@ -13,26 +13,15 @@
 use crate::scenario::Scenario;
 use crate::span::Time;
 use hdrhistogram::Histogram;
+pub use nodes::Means;
 use stage::Stage;
 use std::future::pending;
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::sleep;
 
-/// How real processes are to be run.
-#[derive(Clone, Debug)]
-pub struct Means {
-    /// The node's program.
-    pub program: PathBuf,
-    /// Where the nodes' logs are kept; nowhere if not told.
-    pub logs: Option<PathBuf>,
-    /// What the program is started with: nothing for the node.
-    pub arguments: Vec<String>,
-}
-
 /// What goes out later than this, one command in a hundred, is the machine's fault and not a node's: a fifth of
 /// the shortest goal time, and 20 ms at most.
 fn bearable(scenario: &Scenario) -> Duration {
@@ -75,10 +64,18 @@
     progress: &mut dyn FnMut(u64),
 ) -> Result<(Played, Judges), String> {
     let folder = tempfile::tempdir().map_err(|e| format!("a folder for the nodes' files: {e}"))?;
-    let stage = Stage::new(scenario, seed);
+    let (stage, mut replaced) = Stage::new(scenario, seed);
     for i in 0..stage.backends() {
         backends::start(&stage, i)?;
     }
+    let doors = stage.clone();
+    spawn_local(async move {
+        while let Some(i) = replaced.recv().await {
+            if let Err(why) = backends::start(&doors, i) {
+                doors.fail(why);
+            }
+        }
+    });
     let crew = nodes::Crew::new(&stage, means, folder.path().to_owned())?;
     crew.start_all().await?;
     stage.begin();
@@ -96,7 +93,7 @@
     let mut judges = stage.end();
     let now = stage.now();
     judges.rules.end(now);
-    let mut played = Played::of(scenario, &judges, "yarrowfront", "real", seed);
+    let mut played = judges.result(scenario, ("yarrowfront", "real"), seed);
     played.processes = processes;
     played.void = void(scenario, &late, stage.fault());
     Ok((played, judges))
--- a/crates/rehearsal/src/real/nodes.rs
+++ b/crates/rehearsal/src/real/nodes.rs
@@ -5,7 +5,7 @@
 use crate::judge::Seen;
 use crate::model::settings::settings;
 use crate::real::stage::Stage;
-use crate::real::{discovery, ports, Means};
+use crate::real::{discovery, ports};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use serde_json::json;
@@ -27,6 +27,17 @@
 /// What a node may take beyond the longest time limit to end after SIGTERM.
 const STOP: Duration = Duration::from_millis(1500);
 
+/// How real processes are to be run.
+#[derive(Clone, Debug)]
+pub struct Means {
+    /// The node's program.
+    pub program: PathBuf,
+    /// Where the nodes' logs are kept; nowhere if not told.
+    pub logs: Option<PathBuf>,
+    /// What the program is started with: nothing for the node.
+    pub arguments: Vec<String>,
+}
+
 /// A process at its place.
 struct Life {
     pid: i32,
--- a/crates/rehearsal/src/real/stage.rs
+++ b/crates/rehearsal/src/real/stage.rs
@@ -7,7 +7,6 @@
 use crate::model::fleet::{Asked, Fleet, OnTheWay};
 use crate::model::settings::zone_name;
 use crate::model::troubles::Step;
-use crate::real::backends;
 use crate::scenario::{EffectOf, Scenario};
 use crate::span::Time;
 use serde_json::{json, Value};
@@ -80,10 +79,13 @@
     zero: (Instant, u64),
     origin: Cell<Moment>,
     inner: RefCell<Inner>,
+    /// New machines, whose doors are to be opened.
+    replaced: mpsc::UnboundedSender<usize>,
 }
 
 impl Stage {
-    pub fn new(scenario: &Scenario, seed: u64) -> Rc<Stage> {
+    /// The stage, and where it tells of machines that have come in place of others.
+    pub fn new(scenario: &Scenario, seed: u64) -> (Rc<Stage>, mpsc::UnboundedReceiver<usize>) {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
         let now = Moment(unix);
         let fleet = Fleet::new(scenario, seed, now);
@@ -101,12 +103,15 @@
             gates: (0..count).map(|_| Rc::new(Gate::new())).collect(),
             fault: None,
         };
-        Rc::new(Stage {
+        let (replaced, told) = mpsc::unbounded_channel();
+        let stage = Stage {
+            replaced,
             scenario: Rc::new(scenario.clone()),
             zero: (Instant::now(), unix),
             origin: Cell::new(now),
             inner: RefCell::new(inner),
-        })
+        };
+        (Rc::new(stage), told)
     }
 
     /// The scenario's time starts now: all nodes are up.
@@ -371,9 +376,7 @@
             new
         };
         if new {
-            if let Err(why) = backends::start(self, i) {
-                self.fail(why);
-            }
+            let _ = self.replaced.send(i);
         }
     }
 
--- a/crates/rehearsal/src/virtual_clock.rs
+++ b/crates/rehearsal/src/virtual_clock.rs
@@ -247,8 +247,7 @@
 ) -> Result<(Played, Judges), String> {
     let mut world = World::new(scenario, seed, make)?;
     world.run(progress)?;
-    let mut played = Played::of(scenario, &world.judges, name, "virtual", seed);
-    played.rules = world.judges.rules.broken.clone();
+    let played = world.judges.result(scenario, (name, "virtual"), seed);
     Ok((played, world.judges))
 }
 
