Let a scenario's list be watched from the start; test when a run is void

Need: the rehearsal's issue names both ways to come by the list; the void verdict had no test. Change: list.mode; a table of cases for void.

--- a/crates/rehearsal/src/model/settings.rs
+++ b/crates/rehearsal/src/model/settings.rs
@@ -1,7 +1,7 @@
 //! The settings that a node is given for a scenario: one text for the module on the virtual clock and for the
 //! node's file on the real one.
 
-use crate::scenario::{EffectOf, Scenario, Scope};
+use crate::scenario::{EffectOf, Follow, Scenario, Scope};
 use serde_json::{json, Value};
 
 pub fn zone_name(zone: u16) -> String {
@@ -35,7 +35,7 @@
         "zone": zone,
         "zones": (0..scenario.zones).map(zone_name).collect::<Vec<_>>(),
         "flavors": scenario.backends.iter().map(|k| &k.kind).collect::<Vec<_>>(),
-        "discovery": "ask",
+        "discovery": if scenario.list.mode == Follow::Ask { "ask" } else { "push" },
         "profiles": scenario.profiles.iter().map(profile).collect::<Vec<_>>(),
         "tenants": scenario.customers.iter()
             .map(|c| json!({"name": c.name, "quotaPerS": c.quota_per_s})).collect::<Vec<_>>(),
--- a/crates/rehearsal/src/real/mod.rs
+++ b/crates/rehearsal/src/real/mod.rs
@@ -128,3 +128,26 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::{void, Scenario};
+    use hdrhistogram::Histogram;
+
+    /// A machine that is too slow voids the run; one slow command in a thousand does not, and a fault of the
+    /// rehearsal always does.
+    #[test]
+    fn when_a_run_is_void() {
+        let text = include_str!("../../../../scenarios/calm.toml");
+        let scenario = Scenario::parse(text).expect("good");
+        let cases =
+            [(10, 0, None, false), (10, 1, None, false), (10, 30, None, true), (10, 0, Some("a port"), true)];
+        for (usual, slow, fault, wanted) in cases {
+            let mut late = Histogram::new(3).expect("a histogram");
+            late.record_n(usual, 1000 - slow).expect("recorded");
+            late.record_n(80_000, slow).expect("recorded");
+            let told = void(&scenario, &late, fault.map(String::from));
+            assert_eq!(told.is_some(), wanted, "{usual}, {slow}, {fault:?}: {told:?}");
+        }
+    }
+}
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -120,9 +120,20 @@
     }
 }
 
+/// How nodes come by the list.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Follow {
+    /// They must ask for it, and follow its changes from then on.
+    Ask,
+    /// It is told to them from their start on.
+    Watch,
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct List {
+    pub mode: Follow,
     /// From a backend's death until the list tells of it.
     pub notice: Time,
     /// From its start until the list tells of it.
@@ -136,6 +147,7 @@
 impl Default for List {
     fn default() -> List {
         List {
+            mode: Follow::Ask,
             notice: Time::millis(1500),
             add: Time::millis(500),
             trip: Time::millis(100),
--- a/crates/rehearsal/src/virtual_clock.rs
+++ b/crates/rehearsal/src/virtual_clock.rs
@@ -11,7 +11,7 @@
 use crate::model::fleet::{Asked, Fleet, OnTheWay};
 use crate::model::troubles::{timeline, Step};
 use crate::policy::{Birth, Make, Policy, Sent, Task};
-use crate::scenario::{EffectOf, Scenario};
+use crate::scenario::{EffectOf, Follow, Scenario};
 use slab::Slab;
 use yarrowfront::command::{Command, Fate, Outcome};
 use yarrowfront::decide::{Errand, ListKind, Listed, Say, State};
@@ -966,6 +966,10 @@
     fn cached(&mut self, node: usize) {
         let lines: Vec<Listed> = self.fleet.whole().collect();
         self.nodes[node].policy.list(self.now, ListKind::Cached, &lines);
+        if self.scenario.list.mode == Follow::Watch {
+            let (trip, life) = (self.trip(), self.nodes[node].life);
+            self.after(trip, Event::Ask { node: node as u32, life });
+        }
         self.upkeep(node);
     }
 
--- a/crates/rehearsal/tests/judges.rs
+++ b/crates/rehearsal/tests/judges.rs
@@ -172,8 +172,10 @@
 fn the_innocent_are_not_blamed() {
     let trouble = "[[troubles]]\nkind = \"rolling-deploy\"\nat = \"2s\"\nlength = \"4s\"\ndown = \"500ms\"\n\
                    [[troubles]]\nkind = \"resets\"\nat = \"1s\"\nlength = \"5s\"\nstrength = 0.1\n";
-    for effect in ["repeatable", "tagged", "once-only"] {
-        let scenario = Scenario::parse(&format!("{PLAIN}{}{trouble}", profile(effect))).expect("good");
+    let ways = [("repeatable", "ask"), ("tagged", "ask"), ("once-only", "ask"), ("tagged", "watch")];
+    for (effect, mode) in ways {
+        let plain = PLAIN.replace("nodes = 1", &format!("nodes = 1\nlist = {{ mode = \"{mode}\" }}"));
+        let scenario = Scenario::parse(&format!("{plain}{}{trouble}", profile(effect))).expect("good");
         for name in policy::NAMES {
             let make = |birth: &Birth| policy::make(name, birth);
             let (played, _) = virtual_clock::play(&scenario, 3, name, &make, &mut |_| ()).expect("plays");
