Blame no backend for failures that half of them have

Change: the median share of failures among those met is taken for the way or for all; a backend is judged by what remains. A backend that a command has been to is no hope for it when all others look bad.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -149,6 +149,8 @@
     crowd: f64,
     /// How often backends that were idle, as reports had it, came late or full.
     belied: f64,
+    /// The share of failures that half of the backends met have at least.
+    common: f64,
     probes: f64,
     probe_trip: f64,
     follow_at: Moment,
@@ -629,9 +631,11 @@
         let mut hopeful = false;
         // A tagged command that may have run is bound to a group that this node may never meet otherwise.
         let reach = if first { self.reach.min(ready.len()) } else { ready.len() };
+        self.common = self.common_share(&ready[..reach]);
         for &i in &ready[..reach] {
             let willing = self.willing(now, i, command);
-            hopeful |= willing;
+            // Whom it has been to is no hope for it.
+            hopeful |= willing && !command.launches().any(|l| l.backend == self.backends[i].listed.backend);
             if willing && self.room(now, i, command) {
                 pool.push(i);
             }
@@ -753,14 +757,29 @@
             return true;
         }
         if self.profile(command).effect == Effect::OnceOnly {
-            return false;
+            // Beyond doubt is who has no more of them than chance gives each.
+            let usual = self.common * (b.good + b.bad);
+            return b.bad < 0.3 + usual + usual.sqrt();
         }
-        // The chance drawn must be 0.8: it is above x if fewer than `a` of `a + b - 1` draws fall under x.
+        // The chance drawn must be 0.8 of what half of all reach: it is above x if fewer than `a` of
+        // `a + b - 1` draws fall under x.
+        let least = 0.8 * (1.0 - self.common);
         let (a, n) = (1 + b.good.round() as u32, 1 + (b.good.round() + b.bad.round()) as u32);
-        let under = (0..n).filter(|_| self.unit() < 0.8).count() as u32;
+        let under = (0..n).filter(|_| self.unit() < least).count() as u32;
         under < a
     }
 
+    /// What half of those met have of failures tells of the way there or of all, and of no one backend.
+    fn common_share(&self, met: &[usize]) -> f64 {
+        if met.iter().all(|&i| self.backends[i].bad < 0.3) {
+            return 0.0;
+        }
+        let share = |b: &Backend| b.bad / (b.good + b.bad + 1.0);
+        let mut shares: Vec<f64> = met.iter().map(|&i| share(&self.backends[i])).collect();
+        let middle = (shares.len() - 1) / 2;
+        *shares.select_nth_unstable_by(middle, f64::total_cmp).1
+    }
+
     fn weigh(&mut self, now: Moment, i: usize, good: f64, bad: f64) {
         // Evidence halves in three seconds, and past eight good outcomes the older of both kinds counts less.
         // Where many nodes meet a backend, each tries it again the later: together as often as three.
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -404,3 +404,38 @@
     let mut next = bench.command(0);
     assert!((0..50).any(|_| matches!(bench.place(&mut next), Say::Launch(_))));
 }
+
+/// Answers spoilt on the wire, from all backends alike: once-only commands found nobody beyond doubt, and then took
+/// whoever was free, which was the sick one. Where the others are clean a failure tells of its backend as ever.
+#[test]
+fn once_only_commands_avoid_the_sick_among_the_spoilt() {
+    for everywhere in [true, false] {
+        let mut sick = 0;
+        for seed in 0..8 {
+            let mut bench = Bench::with(seed, |t| {
+                let mut once = t["profiles"][0].clone();
+                once["idempotency"] = "once".into();
+                t["profiles"].as_array_mut().expect("profiles").push(once);
+            });
+            bench.list_groups(&[(1, 1), (2, 1), (3, 1), (4, 1), (5, 1), (6, 1)]);
+            for round in 0..200u64 {
+                // Enough for the five others, then one that may run once only.
+                let mut out: Vec<_> = (0..6).map(|n| bench.command(u16::from(n == 5))).collect();
+                let says: Vec<Say> = out.iter_mut().map(|command| bench.place(command)).collect();
+                bench.later(25);
+                for (n, (command, say)) in out.iter_mut().zip(says).enumerate() {
+                    let Say::Launch(backend) = say else {
+                        bench.node.dropped(command);
+                        continue;
+                    };
+                    let ill = backend.0 == 1;
+                    sick += u32::from(round > 20 && n == 5 && ill);
+                    let spoilt = ill || everywhere && (round + 3 * u64::from(backend.0)) % 8 == 0;
+                    command.closed = true;
+                    bench.after(command, 0, if spoilt { Broken } else { Finished });
+                }
+            }
+        }
+        assert!(sick < 80, "everywhere {everywhere}: {sick} of 1440 to the sick one");
+    }
+}
