Say once how a command ends and what counts as broken in a rehearsal

Need: both clocks turned a try's end into a command's end, and two places added up the broken rules by hand. Change: Ending from TryEnd, beside the sightings; Broken::count. Behaviour as it was.

--- a/crates/rehearsal/src/compare.rs
+++ b/crates/rehearsal/src/compare.rs
@@ -16,10 +16,7 @@
     ("launches", false, |p| p.launches_per_command),
     ("probes", false, |p| p.probes_per_command),
     ("wasted", false, |p| p.wasted_share),
-    ("rules broken", false, |p| {
-        let r = &p.rules;
-        (r.answers + r.effects + r.drains + r.pushes + r.crashes) as f64
-    }),
+    ("rules broken", false, |p| p.rules.count() as f64),
 ];
 
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/rehearsal/src/judge/rules.rs
+++ b/crates/rehearsal/src/judge/rules.rs
@@ -23,7 +23,12 @@
 
 impl Broken {
     pub fn any(&self) -> bool {
-        self.answers + self.effects + self.drains + self.pushes + self.crashes > 0
+        self.count() > 0
+    }
+
+    /// All that broke, whichever rule it was.
+    pub fn count(&self) -> u64 {
+        self.answers + self.effects + self.drains + self.pushes + self.crashes
     }
 }
 
--- a/crates/rehearsal/src/judge/seen.rs
+++ b/crates/rehearsal/src/judge/seen.rs
@@ -1,5 +1,6 @@
 //! What clients and backends saw: the words in which both clocks tell the judges.
 
+use crate::model::clients::TryEnd;
 use yarrowfront::times::Moment;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -118,3 +119,16 @@
         at: Moment,
     },
 }
+
+/// A command ends as its last try did.
+impl From<TryEnd> for Ending {
+    fn from(last: TryEnd) -> Ending {
+        match last {
+            TryEnd::Finished => Ending::Finished,
+            TryEnd::TurnedBack(_) => Ending::TurnedBack,
+            TryEnd::Errored => Ending::Errored,
+            TryEnd::Lost | TryEnd::Refused => Ending::Lost,
+            TryEnd::TimedOut => Ending::TimedOut,
+        }
+    }
+}
--- a/crates/rehearsal/src/real/clients.rs
+++ b/crates/rehearsal/src/real/clients.rs
@@ -77,13 +77,9 @@
                 let mut draw = self.draw.borrow_mut();
                 again(&self.stage.scenario, wanted.profile, tries, end, &mut draw)
             };
-            match (pause, end) {
-                (Some(pause), _) => sleep(Duration::from_micros(pause.0)).await,
-                (None, TryEnd::Finished) => break Ending::Finished,
-                (None, TryEnd::TurnedBack(_)) => break Ending::TurnedBack,
-                (None, TryEnd::Errored) => break Ending::Errored,
-                (None, TryEnd::Lost | TryEnd::Refused) => break Ending::Lost,
-                (None, TryEnd::TimedOut) => break Ending::TimedOut,
+            match pause {
+                Some(pause) => sleep(Duration::from_micros(pause.0)).await,
+                None => break Ending::from(end),
             }
         };
         let (command, profile) = (wanted.number, wanted.profile);
--- a/crates/rehearsal/src/search.rs
+++ b/crates/rehearsal/src/search.rs
@@ -28,9 +28,7 @@
         virtual_clock::play(scenario, seed, name, &make, &mut |_| ()).map(|(played, _)| played)
     };
     let (own, sighted) = (play(name)?, play("sighted")?);
-    let r = &own.rules;
-    let broken = r.answers + r.effects + r.drains + r.pushes + r.crashes;
-    Ok(Loss { service: own.service, sighted: sighted.service, broken })
+    Ok(Loss { service: own.service, sighted: sighted.service, broken: own.rules.count() })
 }
 
 fn draw_trouble(kind: What, scenario: &Scenario, near: Option<&Trouble>, draw: &mut Draw) -> Trouble {
--- a/crates/rehearsal/src/virtual_clock.rs
+++ b/crates/rehearsal/src/virtual_clock.rs
@@ -527,14 +527,7 @@
             return;
         }
         self.wants.remove(want);
-        let ending = match end {
-            None => Ending::Left,
-            Some(TryEnd::Finished) => Ending::Finished,
-            Some(TryEnd::TurnedBack(_)) => Ending::TurnedBack,
-            Some(TryEnd::Errored) => Ending::Errored,
-            Some(TryEnd::Lost | TryEnd::Refused) => Ending::Lost,
-            Some(TryEnd::TimedOut) => Ending::TimedOut,
-        };
+        let ending = end.map_or(Ending::Left, Ending::from);
         self.judges.see(Seen::Settled { command, profile, at: self.now, ending });
     }
 
