Send no probes where not even one a command can be paid for

They hold the commands that ask for a trip, and with 15 nodes at a backend their news is old within one service time.

Change: `dear` says whether a hundredth of a command buys one probe; where it does not none is bought.

Where probes are cheap nothing moves.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -408,14 +408,17 @@
         let rate = self.met * std::f64::consts::LN_2 / 4e6;
         let fewest = if self.sighted() { FEWEST * 3 / 2 } else { FEWEST };
         self.reach = fewest.max((0.5 * rate * TOKEN_EXPIRY.micros()) as usize);
-        self.near = match self.terms.may_probe && self.terms.probe_price > DEAR {
+        self.near = match self.dear() {
             true => portion::few(&self.terms, self.ready.len(), rate * self.usual),
             false => usize::MAX,
         };
         // Half the commands may be launched again, with a store for a lost zone: only a bound is meant.
         self.relaunches = (self.relaunches + 0.5).min(50.0);
-        // Probes are bought for at most a hundredth of a command each.
-        self.probes = (self.probes + (0.01 / self.terms.probe_price.max(1e-4)).min(5.0)).min(40.0);
+        // Probes are bought for at most a hundredth of a command each, and none where that is not one a command:
+        // the few commands that ask cost more than they gain, and their news is old when the next one comes.
+        if !self.dear() {
+            self.probes = (self.probes + (0.01 / self.terms.probe_price.max(1e-4)).min(5.0)).min(40.0);
+        }
         let cost = self.cost(command);
         let mut value = self.profile(command).payoff;
         if !self.terms.payoff_by_work {
@@ -445,6 +448,11 @@
         self.open = (self.open + step).clamp(0.1, 1.4);
     }
 
+    /// Probes are allowed, and cost too much to go by.
+    fn dear(&self) -> bool {
+        self.terms.may_probe && self.terms.probe_price > DEAR
+    }
+
     /// The share of launches that may be late before the node closes.
     fn accepted(&self) -> f64 {
         self.terms.tail_miss.map_or(0.1, |m| 1.5 * m)
@@ -721,8 +729,8 @@
         (f64::from(self.terms.nodes) * part.min(1.0)).max(1.0)
     }
 
-    /// Our part of what a cold backend can take in a microsecond beyond what it gets done: the vessel full and
-    /// what drains of it meanwhile come to less than all.
+    /// Our part of what a cold backend can take in a microsecond beyond what it gets done: the vessel full
+    /// and what drains of it meanwhile come to less than all.
     fn part(&self, now: Moment, started: Moment) -> f64 {
         0.47 * (self.terms.push_over_multiple - 1.0).max(0.1) * self.warmth(now, started) / self.sharers()
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -82,6 +82,29 @@
     }
 }
 
+/// Where a probe costs a twelfth of a command, the few that could be paid for cost more than they gained: all
+/// commands go by what the node knows itself.
+#[test]
+fn no_probes_where_they_are_dear() {
+    for (price, some) in [(0.08, false), (0.009, true)] {
+        let mut bench = Bench::with(1, |t| {
+            t["balancers"] = 100.into();
+            t["limits"]["mayProbe"] = true.into();
+            t["report"] = json!({"how": "pull", "names": ["outstanding", "backlog"]});
+            t["penalties"] = json!({"probe": price});
+        });
+        bench.list_groups(&groups(60, 1));
+        let mut probes = 0;
+        for _ in 0..100 {
+            let mut command = bench.command(0);
+            bench.place(&mut command);
+            probes += bench.errands().iter().filter(|e| matches!(e, Errand::Probe(_))).count();
+            bench.later(70);
+        }
+        assert_eq!(probes > 0, some, "{probes} probes at {price}");
+    }
+}
+
 /// A node with few commands keeps to few backends, so that it learns them; one with many meets them all.
 #[test]
 fn a_node_meets_what_it_can_learn() {
