Call for the list in turn, so that a hundred nodes do not drown its service

At fault: the spread of 0.1 s for the first call and the first pauses of 50 to 150 ms in `list`, harmless in a fleet of two, each a hundred at a time in one of a hundred.

Change: the first call is spread over 50 ms a node, half the asking term at most, and so long is the least pause after a failed one (`portion::turn`). Two nodes wait a tenth of a second as before. A node still asks well inside its term.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -202,8 +202,7 @@
         };
         node.fill = node.target();
         if node.terms.must_ask {
-            // Nodes that start together must not call together: a spread of a tenth of a second.
-            node.follow_at = now + Span::millis(100).scaled(node.unit());
+            node.follow_at = now + portion::turn(&node.terms).scaled(node.unit());
         }
         node
     }
@@ -290,8 +289,9 @@
 
     pub fn list(&mut self, now: Moment, kind: ListKind, lines: impl Iterator<Item = Listed>) {
         if kind == ListKind::Failed {
-            // Backing off from a tenth of a second, spread by half, and always well inside the asking term.
-            let pause = Span::millis(100 << self.failures.min(5)).min(Span(self.terms.ask_within.0 / 4));
+            // Backing off, spread by half, and always well inside the asking term.
+            let turn = portion::turn(&self.terms);
+            let pause = Span(turn.0 << self.failures.min(5)).min(Span(self.terms.ask_within.0 / 4)).max(turn);
             self.failures += 1;
             self.follow_at = now + pause.scaled(0.5 + self.unit());
             return;
@@ -414,8 +414,8 @@
         };
         // Half the commands may be launched again, with a store for a lost zone: only a bound is meant.
         self.relaunches = (self.relaunches + 0.5).min(50.0);
-        // Probes are bought for at most a hundredth of a command each, and none where that is not one a command:
-        // the few commands that ask cost more than they gain, and their news is old when the next one comes.
+        // Probes are bought for at most a hundredth of a command each, and none where that is not one a
+        // command: the few that ask cost more than they gain, and their news is old when the next one comes.
         if !self.dear() {
             self.probes = (self.probes + (0.01 / self.terms.probe_price.max(1e-4)).min(5.0)).min(40.0);
         }
--- a/src/portion.rs
+++ b/src/portion.rs
@@ -1,4 +1,5 @@
-//! Which of the backends a node keeps to, where it can learn of the others only dearly.
+//! A node's portion of what all nodes share: which of the backends it keeps to, where it can learn of the
+//! others only dearly, and its turn to call for the list.
 //!
 //! All nodes hold the backends in one order and start in it at places evenly apart: each backend then has
 //! as many nodes as any other, without a word between them. A node that keeps to few has a good part of what
@@ -6,6 +7,7 @@
 //! would know none.
 
 use crate::terms::Terms;
+use crate::times::Span;
 use std::collections::hash_map::DefaultHasher;
 use std::hash::Hasher;
 
@@ -17,6 +19,10 @@
 const NODES: f64 = 4.0;
 const FEWEST: f64 = 3.0;
 
+/// Of the list service's time for each node: a hundred nodes then call it twenty times a second, as often as
+/// it was seen to answer (docs/fleet.md); two nodes within a tenth of a second.
+const CALL: Span = Span::millis(50);
+
 /// A backend's place in the order, by what says the same of it at every node.
 pub(crate) fn rank(mark: u64) -> u64 {
     let mut hasher = DefaultHasher::new();
@@ -35,3 +41,9 @@
     let each = NODES * backends as f64 / f64::from(terms.nodes.max(1));
     (load / SHARE).max(each).max(FEWEST).ceil() as usize
 }
+
+/// In which each node calls for the list once. Nodes that start or fail together must not call together: a
+/// list service that is behind works through calls whose callers have given up, and answers nobody in time.
+pub(crate) fn turn(terms: &Terms) -> Span {
+    Span(CALL.0 * u64::from(terms.nodes.max(2))).min(Span(terms.ask_within.0 / 2))
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -82,6 +82,31 @@
     }
 }
 
+/// A hundred nodes start together, and the list service is behind: each call fails after two seconds. Called at
+/// once and again soon it had a hundred calls a second, worked through those given up on, and after seventy nodes
+/// had been killed no node had a list for ten seconds. They call in turn, and yet each well inside the asking term.
+#[test]
+fn calls_for_the_list_do_not_come_together() {
+    for (nodes, most) in [(100, 40), (2, 5)] {
+        let mut calls = vec![0; 30];
+        for seed in 0..nodes {
+            let mut bench = among(nodes, u64::from(seed));
+            let (start, mut last) = (bench.now, bench.now);
+            while bench.now < start + Span::millis(28_000) {
+                let wait = bench.node.wait(bench.now, None).expect("a call is due");
+                bench.now = bench.now + wait;
+                assert_eq!(bench.errands(), [Errand::Follow]);
+                assert!(bench.now.since(last) < Span::millis(10_000), "{nodes} nodes: one waits too long");
+                last = bench.now;
+                calls[(bench.now.since(start).0 / 1_000_000) as usize % 30] += 1;
+                bench.later(2000);
+                bench.node.list(bench.now, ListKind::Failed, std::iter::empty());
+            }
+        }
+        assert!(calls.iter().all(|&n| n <= most), "{nodes} nodes: {calls:?}");
+    }
+}
+
 /// Where a probe costs a twelfth of a command, the few that could be paid for cost more than they gained: all
 /// commands go by what the node knows itself.
 #[test]
