Pin the numbers that names become, so that all nodes hold one order of backends

Need: the shared order rests on each node making the same number of a name; nothing tested it on the node's side. Change: a test with two names and their numbers; no other code. Measured: it fails with numbers of any other kind; the node's tests pass.

--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -196,3 +196,15 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::mark;
+
+    /// All nodes, of older builds too, must hold the backends in one order: by numbers given out as names come
+    /// in, or by a hasher with a key of its own, each would have another.
+    #[test]
+    fn a_name_is_the_same_number_everywhere() {
+        assert_eq!([mark("s-5be2a07c"), mark("b1")], [8605843283703293279, 5184175751576726796]);
+    }
+}
