Say once what was said twice in the shared order and the price of probes

Change: the rank is made when the list is sorted; `dear` is asked once; one constant for the price; `met_one` as it was; `hash_one`; `Listed::default` for a gone entry; `asking` takes its price. All tests keep their assertions.

--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
 use std::collections::hash_map::DefaultHasher;
-use std::hash::{Hash, Hasher};
+use std::hash::{BuildHasher, BuildHasherDefault};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -42,9 +42,7 @@
 
 /// A name as a number: the same at every node, as the hasher has no key of its own.
 fn mark(name: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    name.hash(&mut hasher);
-    hasher.finish()
+    BuildHasherDefault::<DefaultHasher>::default().hash_one(name)
 }
 
 impl Lister {
@@ -80,9 +78,7 @@
         match self.whole_line(entry, name, state) {
             // Nothing new goes to it, whatever else its entry says or lacks.
             Err(_) if state != State::Ready => {
-                let (backend, started) = (self.desk.id(name), Moment(0));
-                let (mark, zone, kind, group) = (mark(name), ZoneId(0), KindId(0), GroupId(0));
-                Ok((Listed { backend, mark, zone, kind, group, state: State::Gone, started }, None))
+                Ok((Listed { backend: self.desk.id(name), state: State::Gone, ..Listed::default() }, None))
             }
             line => line,
         }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -39,8 +39,6 @@
 #[derive(Default)]
 struct Backend {
     listed: Listed,
-    /// Its place in the order that all nodes share.
-    rank: u64,
     token: Option<Moment>,
     served: bool,
     in_flight: u32,
@@ -140,8 +138,8 @@
 /// Backends met at the least: a third failing at once still leaves a choice. Half as many again where probes
 /// find the idle one among them; more lost there, and half as many lost fleets without reports.
 const FEWEST: usize = 8;
-/// At this price probes are bought for a hundredth of a command each: not even one for each command.
-const DEAR: f64 = 0.01;
+/// What a command may spend on probes, of its payoff: a hundredth. At a higher price it buys not even one.
+const FOR_PROBES: f64 = 0.01;
 /// Enough commands to tell dear from cheap, few enough to follow a change.
 const RECENT: usize = 32;
 /// How far one late launch closes the node: four in a row by half.
@@ -317,7 +315,7 @@
             }
         }
         let backends = &self.backends;
-        self.ready.sort_unstable_by_key(|&i| (backends[i].rank, backends[i].listed.backend));
+        self.ready.sort_by_cached_key(|&i| portion::rank(backends[i].listed.mark));
         let start = portion::place(&self.terms, self.ready.len());
         self.ready.rotate_left(start);
         self.wake_next();
@@ -331,7 +329,6 @@
         let poured = (self.usual - brim).max(0.0) * self.unit();
         let fresh = Backend {
             listed: line,
-            rank: portion::rank(line.mark),
             ghost_at: now,
             quiet_since: now,
             pace: kind_pace,
@@ -408,17 +405,15 @@
         let rate = self.met * std::f64::consts::LN_2 / 4e6;
         let fewest = if self.sighted() { FEWEST * 3 / 2 } else { FEWEST };
         self.reach = fewest.max((0.5 * rate * TOKEN_EXPIRY.micros()) as usize);
-        self.near = match self.dear() {
-            true => portion::few(&self.terms, self.ready.len(), rate * self.usual),
-            false => usize::MAX,
-        };
+        self.near = usize::MAX;
+        if self.dear() {
+            // The few that could ask cost more than they gain, and their news is old when the next one comes.
+            self.near = portion::few(&self.terms, self.ready.len(), rate * self.usual);
+        } else {
+            self.probes = (self.probes + (FOR_PROBES / self.terms.probe_price.max(1e-4)).min(5.0)).min(40.0);
+        }
         // Half the commands may be launched again, with a store for a lost zone: only a bound is meant.
         self.relaunches = (self.relaunches + 0.5).min(50.0);
-        // Probes are bought for at most a hundredth of a command each, and none where that is not one a
-        // command: the few that ask cost more than they gain, and their news is old when the next one comes.
-        if !self.dear() {
-            self.probes = (self.probes + (0.01 / self.terms.probe_price.max(1e-4)).min(5.0)).min(40.0);
-        }
         let cost = self.cost(command);
         let mut value = self.profile(command).payoff;
         if !self.terms.payoff_by_work {
@@ -450,7 +445,7 @@
 
     /// Probes are allowed, and cost too much to go by.
     fn dear(&self) -> bool {
-        self.terms.may_probe && self.terms.probe_price > DEAR
+        self.terms.may_probe && self.terms.probe_price > FOR_PROBES
     }
 
     /// The share of launches that may be late before the node closes.
@@ -870,7 +865,7 @@
 
     fn met_one(&mut self) -> usize {
         let draw = self.chance() as usize;
-        self.ready[draw % self.ready.len().min(self.reach).min(self.near)]
+        self.ready[draw % self.ready.len().min(self.reach)]
     }
 
     /// Probes a few of those met, this one first, and none of whom there is news or a probe out already.
--- a/src/portion.rs
+++ b/src/portion.rs
@@ -9,7 +9,7 @@
 use crate::terms::Terms;
 use crate::times::Span;
 use std::collections::hash_map::DefaultHasher;
-use std::hash::Hasher;
+use std::hash::{BuildHasher, BuildHasherDefault};
 
 /// The part of a backend's time that a node's own load is to be: with some seven nodes at each, the less busy
 /// of few by own counts is late half as often as one of all at random; fewer at each gain no more, and some
@@ -25,9 +25,7 @@
 
 /// A backend's place in the order, by what says the same of it at every node.
 pub(crate) fn rank(mark: u64) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    hasher.write_u64(mark);
-    hasher.finish()
+    BuildHasherDefault::<DefaultHasher>::default().hash_one(mark)
 }
 
 /// Where in the order of so many backends this node starts.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -13,12 +13,12 @@
     Bench::with(seed, |t| t["balancers"] = nodes.into())
 }
 
-fn asking(nodes: u32, seed: u64) -> Bench {
+fn asking(nodes: u32, seed: u64, price: f64) -> Bench {
     Bench::with(seed, |t| {
         t["balancers"] = nodes.into();
         t["limits"]["mayProbe"] = true.into();
         t["report"] = json!({"how": "pull", "names": ["outstanding", "backlog"]});
-        t["penalties"] = json!({"probe": 0.002});
+        t["penalties"] = json!({"probe": price});
     })
 }
 
@@ -47,7 +47,7 @@
 #[test]
 fn probes_are_bought_with_commands() {
     for (held, least, most) in [(3.0, 800, 1100), (0.0, 200, 700)] {
-        let mut bench = asking(500, 1);
+        let mut bench = asking(500, 1, 0.002);
         assert_eq!(bench.errands().len(), 0);
         bench.list_groups(&groups(100, 1));
         let (mut probes, mut launched) = (0, 0);
@@ -112,12 +112,7 @@
 #[test]
 fn no_probes_where_they_are_dear() {
     for (price, some) in [(0.08, false), (0.009, true)] {
-        let mut bench = Bench::with(1, |t| {
-            t["balancers"] = 100.into();
-            t["limits"]["mayProbe"] = true.into();
-            t["report"] = json!({"how": "pull", "names": ["outstanding", "backlog"]});
-            t["penalties"] = json!({"probe": price});
-        });
+        let mut bench = asking(100, 1, price);
         bench.list_groups(&groups(60, 1));
         let mut probes = 0;
         for _ in 0..100 {
@@ -318,7 +313,7 @@
     for (outcome, again) in [(Unsent, true), (Full, false)] {
         let mut hits = 0;
         for seed in 0..40 {
-            let mut bench = asking(500, seed);
+            let mut bench = asking(500, seed, 0.002);
             bench.list_groups(&groups(2, 1));
             let launch = |bench: &mut Bench| loop {
                 let mut command = bench.command(0);
@@ -340,7 +335,7 @@
 /// probe is waited for, and no report mints a token, until answers are in time again.
 #[test]
 fn belied_reports_are_left_aside() {
-    let mut bench = asking(500, 1);
+    let mut bench = asking(500, 1, 0.002);
     bench.list_groups(&groups(20, 1));
     let run = |bench: &mut Bench, took: u64, times: u32| {
         let mut probes = 0;
@@ -375,7 +370,7 @@
 #[test]
 fn asking_takes_a_part_of_a_commands_time() {
     for (takes, least, most) in [(5, 100, 700), (75, 2000, 3500)] {
-        let mut bench = asking(4, 1);
+        let mut bench = asking(4, 1, 0.002);
         bench.list_groups(&groups(3, 1));
         let mut sent = 0;
         while sent < 60 {
