Use open connections while new ones fail; heed reports with answers; call lost launches off

Reports that come with answers were not told from those asked for. Change: the module counts the connections its answers leave open (limits.connIdle); while more than 0.15 of the dials fail (halved in 4 s) it launches on open ones and explores with a tenth. Hints count from 12 answers, for four times the usual at most. Where reports come with answers nobody is asked, and a report of others' work takes back the token of the answer it came with. A lost launch is called off where two must not be out, and its command goes elsewhere once that is over (Say::CallOff; simhost, rehearsal and the node carry it out).

--- a/crates/node/src/launch.rs
+++ b/crates/node/src/launch.rs
@@ -58,6 +58,13 @@
     pub report: Vec<f32>,
 }
 
+impl Done {
+    /// Its node no longer waits for it: it may have run.
+    pub fn called_off(number: u8, backend: BackendId) -> Done {
+        Done { number, backend, outcome: Outcome::Cancelled, answer: None, report: Vec::new() }
+    }
+}
+
 #[derive(Clone)]
 pub struct Launcher {
     pub pool: Rc<Pool>,
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -7,7 +7,7 @@
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use std::rc::Rc;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep;
 use tower::ServiceExt;
 use yarrowfront::command::Command;
@@ -20,6 +20,8 @@
     desk: Rc<Desk>,
     hand: Hand,
     ended: mpsc::UnboundedReceiver<Done>,
+    /// By a launch's number: what calls it off.
+    out: Vec<Option<oneshot::Sender<()>>>,
 }
 
 impl Drop for Held {
@@ -40,7 +42,7 @@
         return plain(StatusCode::CONFLICT, "a command with this id is in hand");
     };
     let (end, ended) = mpsc::unbounded_channel();
-    let mut held = Held { desk: desk.clone(), hand, ended };
+    let mut held = Held { desk: desk.clone(), hand, ended, out: Vec::new() };
     let mut say = desk.place(hand);
     loop {
         match say {
@@ -48,9 +50,16 @@
                 let (number, address) = (desk.last_launch(hand), desk.address(backend));
                 let launch = Launch { cargo: cargo.clone(), number, backend, address, ends };
                 let (launcher, desk, end) = (node.launcher.clone(), desk.clone(), end.clone());
+                let (kept, called_off) = oneshot::channel();
+                held.out.push(Some(kept));
                 // A task of its own: should the client go, the module still learns what came of it.
                 tokio::task::spawn_local(async move {
-                    let Ok(done) = launcher.oneshot(launch).await;
+                    let done = tokio::select! {
+                        biased;
+                        Ok(done) = launcher.oneshot(launch) => done,
+                        // Its connection goes with it.
+                        Ok(()) = called_off => Done::called_off(number, backend),
+                    };
                     if let Err(unread) = end.send(done) {
                         desk.after(hand, &unread.0);
                     }
@@ -59,6 +68,10 @@
             Say::NotYet => {}
             Say::TurnBack(span) => return turn_back(span),
             Say::Errored => return plain(StatusCode::BAD_GATEWAY, "errored"),
+            Say::CallOff(launch) => {
+                // An outcome that is on its way already goes first.
+                let _ = held.out[usize::from(launch)].take().map(|kept| kept.send(()));
+            }
         }
         let wait = desk.wait(hand);
         say = tokio::select! {
--- a/crates/rehearsal/src/virtual_clock.rs
+++ b/crates/rehearsal/src/virtual_clock.rs
@@ -585,6 +585,7 @@
                 self.answer(node, hand, Final::TurnedBack, told.then_some(span.0));
             }
             Say::Errored => self.answer(node, hand, Final::Errored, None),
+            Say::CallOff(launch) => self.outcome(node, hand, launch, Outcome::Cancelled),
         }
         self.settle(node, hand);
     }
@@ -882,6 +883,9 @@
     fn outcome(&mut self, node: usize, hand: Ref, number: u8, outcome: Outcome) {
         let n = &mut self.nodes[node];
         let Some(held) = n.hands.get(hand) else { return };
+        if held.task.sent[usize::from(number)].fate != Fate::Out {
+            return; // it was called off: nobody waits for its answer any more
+        }
         let proven = outcome.proves_not_run();
         held.task.sent[usize::from(number)].fate = if proven { Fate::NotRun } else { Fate::MayHaveRun };
         let finishes = outcome == Outcome::Finished && !held.task.command.closed;
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -211,6 +211,7 @@
             Say::NotYet => {}
             Say::TurnBack(span) => reply.action(20, self.number, &[&id, &(span.0 * 1000).to_be_bytes()]),
             Say::Errored => reply.action(30, self.number, &[&id]),
+            Say::CallOff(launch) => reply.action(40, self.number, &[&id, &[launch]]),
         }
         self.settle(now, key, reply);
     }
--- a/src/command.rs
+++ b/src/command.rs
@@ -48,6 +48,8 @@
     /// From when on it is taken for lost, and whether it has been: it may still be answered.
     pub lost_at: Moment,
     pub lost: bool,
+    /// A new connection was opened for it.
+    pub dialled: bool,
 }
 
 /// Launches a command can have at most, whatever the settings allow.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -24,6 +24,8 @@
     NotYet,
     TurnBack(Span),
     Errored,
+    /// Stop waiting for this launch; its outcome then says what follows.
+    CallOff(u8),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -65,6 +67,9 @@
     down: bool,
     poured: f64,
     poured_at: Moment,
+    /// Connections that our answers left open, until when.
+    open: u32,
+    open_until: Moment,
 }
 
 /// What is learned by profile: the usual work, and how far hints tell it.
@@ -126,6 +131,9 @@
     belied: f64,
     /// The share of failures that half of the backends met have at least.
     common: f64,
+    /// The share of new connections that failed, of late.
+    dials: f64,
+    dials_at: Moment,
     probes: f64,
     probe_trip: f64,
     follow_at: Moment,
@@ -154,9 +162,18 @@
 const FRESH: f64 = 0.13;
 const ASKING: f64 = 0.033;
 
+/// Answers of a profile before hints are heeded: a slope through fewer is chance.
+const HINTED: f64 = 12.0;
+
+/// The share of failed dials from which on only open connections are used, and how soon that is forgotten.
+const DIALS_FAIL: f64 = 0.15;
+const DIALS_HALVE: Span = Span::millis(4000);
+
 /// A launch out for so many times what was expected is written off, past its goal time and within it: sooner
 /// where its answer is worth nothing any more, later where a second copy may follow.
 const LOST: [f64; 2] = [6.0, 10.0];
+/// And within the goal time where the first is called off for the second: nothing is doubled.
+const CALLED_OFF: f64 = 7.0;
 
 impl Backend {
     fn ghost_left(&self, now: Moment) -> f64 {
@@ -372,6 +389,9 @@
         let Some(held) = held.or(queued) else { return };
         // Reports carry a little noise: less than half a command is none.
         let held = f64::from(held.max(queued.unwrap_or(0.0))).round();
+        if held > 0.0 && trip.is_none() && sighted {
+            b.token = None; // it has just been minted by the answer that this came with
+        }
         b.others = (held - f64::from(b.in_flight)).max(0.0);
         b.report_at = now;
         // Some twenty reports: a few seconds of a node that sees little, and no single one tells much.
@@ -488,7 +508,15 @@
             self.backends[i].release(&launch);
             self.backends[i].haunt(now, launch.cost);
             self.wake_next();
-            return if self.terms.second_copies { self.anew(now, hand, command) } else { Say::NotYet };
+            if self.terms.second_copies {
+                return self.anew(now, hand, command);
+            }
+            // Called off first, and launched again only when that is over: never two at once.
+            let last = command.launched() - 1;
+            return match self.terms.cancel && now < end && self.may_launch(now, command) {
+                true => Say::CallOff(last as u8),
+                false => Say::NotYet,
+            };
         }
         command.look_at = if now < end { end.min(launch.lost_at) } else { launch.lost_at };
         if now >= end && self.behind(&launch) {
@@ -501,7 +529,14 @@
     /// Whether reports show what others do. They can stand still or lie: then a node goes by its own answers
     /// until those are in time again.
     fn sighted(&self) -> bool {
-        self.terms.may_probe && self.belied < 0.35
+        (self.terms.may_probe || self.terms.reports_come)
+            && self.terms.report_held.is_some()
+            && self.belied < 0.35
+    }
+
+    /// Whether it can look where it likes: reports that come with answers tell of whom it has just been to.
+    fn asks(&self) -> bool {
+        !self.terms.reports_come && self.sighted()
     }
 
     /// Late though sent to an idle backend, as reports had it: that is the command or the backend.
@@ -541,10 +576,10 @@
     /// Expected work in standard microseconds.
     fn cost(&self, command: &Command) -> f64 {
         let row = &self.rows[usize::from(command.profile.0)];
-        let Some(hint) = command.hint.filter(|_| row.spread > 0.0) else { return row.mean };
+        let Some(hint) = command.hint.filter(|_| row.answers > HINTED) else { return row.mean };
         // Rough hints mislead when taken at their word: they count as far as past work went along with them.
         let slope = (row.along / row.spread).clamp(0.0, row.mean / row.hint.max(1.0));
-        (row.mean + slope * (hint.micros() - row.hint)).max(0.2 * row.mean)
+        (row.mean + slope * (hint.micros() - row.hint)).clamp(0.2 * row.mean, 4.0 * row.mean)
     }
 
     /// Where this command may still go: everywhere, or for a tagged one that may have run, where and until.
@@ -625,11 +660,19 @@
         // A tagged command that may have run is bound to a group that this node may never meet otherwise.
         let reach = if first { self.reach.min(ready.len()) } else { ready.len() };
         self.common = self.common_share(&ready[..reach]);
+        // Where new connections fail the open ones are all there is: each dial more is work for the backends.
+        let dials = self.dials * (-now.since(self.dials_at).micros() / DIALS_HALVE.micros()).exp2();
+        let open_only = dials > DIALS_FAIL
+            && !explore
+            && ready[..reach].iter().any(|&i| self.connected(now, i) || self.backends[i].in_flight > 0);
         let mut near = self.near;
         for &i in &ready[..reach] {
             if near == 0 && !pool.is_empty() {
                 break;
             }
+            if open_only && !self.connected(now, i) {
+                continue;
+            }
             let willing = self.willing(now, i, command);
             near = near.saturating_sub(usize::from(willing));
             // Whom it has been to is no hope for it.
@@ -638,7 +681,7 @@
                 pool.push(i);
             }
         }
-        if !hopeful {
+        if !hopeful && !open_only {
             // When all look bad, all are as good as any.
             pool.extend(ready[..reach].iter().copied().filter(|&i| self.room(now, i, command)));
         }
@@ -660,7 +703,8 @@
             // What a report shows of others counts as our own would.
             best = pool.iter().copied().min_by_key(|&i| {
                 let b = &self.backends[i];
-                (b.in_flight + self.others(now, b).round() as u32, self.step(b))
+                let busy = f64::from(b.in_flight) + self.others(now, b);
+                (busy.round() as u32, self.step(b))
             });
         }
         self.ready = ready;
@@ -670,10 +714,16 @@
 
     /// Speed in coarse steps, so that like backends stay alike and age decides among their tokens.
     fn step(&self, b: &Backend) -> i64 {
-        let far = b.listed.zone.0 != self.terms.zone;
-        // A crossing counts as its price in units of a tenth of a command's time.
-        let dear = if far { 1.0 + 10.0 * self.terms.crossing_price } else { 1.0 };
-        (4.0 * (b.pace * dear).log2()).round() as i64
+        (4.0 * (b.pace * self.dear_way(b)).log2()).round() as i64
+    }
+
+    /// A crossing counts as its price in units of a tenth of a command's time.
+    fn dear_way(&self, b: &Backend) -> f64 {
+        if b.listed.zone.0 == self.terms.zone {
+            1.0
+        } else {
+            1.0 + 10.0 * self.terms.crossing_price
+        }
     }
 
     fn oldest_token(&self, now: Moment, pool: &[usize]) -> Option<usize> {
@@ -684,6 +734,10 @@
         held.min_by_key(|&i| (self.step(&self.backends[i]), self.backends[i].token))
     }
 
+    fn connected(&self, now: Moment, i: usize) -> bool {
+        self.backends[i].open > 0 && now < self.backends[i].open_until
+    }
+
     fn room(&self, now: Moment, i: usize, command: &Command) -> bool {
         let b = &self.backends[i];
         if f64::from(b.in_flight) + 1.0 > b.cap.floor()
@@ -802,9 +856,12 @@
         let ahead = self.ahead(now, &self.backends[i]);
         let level = self.pour(now, &self.backends[i], cost).unwrap_or(0.0);
         let due = self.expected(now, &self.backends[i], cost.max(self.usual));
-        let lost = LOST.map(|times| now + Span((times * due) as u64));
+        let within = if self.terms.second_copies { LOST[1] } else { CALLED_OFF };
+        let lost = [LOST[0], within].map(|times| now + Span((times * due) as u64));
         let lost_at = self.goal_end(command).max(lost[0]).min(lost[1]);
+        let dialled = !self.connected(now, i);
         let b = &mut self.backends[i];
+        b.open = if dialled { 0 } else { b.open - 1 };
         b.token = None;
         if b.in_flight == 0 {
             b.quiet_since = now;
@@ -824,6 +881,7 @@
             depth: b.in_flight,
             lost_at,
             lost: false,
+            dialled,
         });
         command.look_at = self.goal_end(command).min(lost_at).max(now);
         if held {
@@ -841,7 +899,7 @@
             let b = &self.backends[i];
             self.fresh(now, i) && b.in_flight == 0 && b.others == 0.0
         });
-        if !self.sighted() || self.terms.nodes < 2 || idle || self.ready.is_empty() {
+        if !self.asks() || self.terms.nodes < 2 || idle || self.ready.is_empty() {
             return false;
         }
         let more = command.rounds < ROUNDS || chosen.is_none();
@@ -976,6 +1034,16 @@
         if matches!(outcome, Outcome::TimedOut | Outcome::Broken) {
             // A connection that has lost its way swallows whatever is sent on it next: a new one is cheap.
             self.errands.push(Errand::Close(launch.backend));
+            self.backends[i].open = 0;
+        }
+        if launch.dialled {
+            let halved = (-now.since(self.dials_at).micros() / DIALS_HALVE.micros()).exp2();
+            let failed = f64::from(outcome == Outcome::Unreachable);
+            (self.dials, self.dials_at) = (self.dials * halved + 0.25 * (failed - self.dials * halved), now);
+        }
+        if matches!(outcome, Outcome::Finished | Outcome::Errored | Outcome::Full) {
+            let b = &mut self.backends[i];
+            (b.open, b.open_until) = (b.open + 1, now + self.terms.conn_idle);
         }
         let goal = self.profile(command).goal_time.micros();
         if alone(launch) && outcome != Outcome::Cancelled {
@@ -1049,9 +1117,10 @@
         row.mean += (1.0 / (row.answers + 3.0)).max(0.02) * over;
         if let Some(hint) = command.hint {
             let off = (hint.micros() - row.hint).min(4.0 * row.hint);
-            row.hint += 0.02 * off;
-            row.spread += 0.02 * (off * off - row.spread);
-            row.along += 0.02 * (off * over - row.along);
+            let weight = (1.0 / row.answers).max(0.02);
+            row.hint += weight * off;
+            row.spread += weight * (off * off - row.spread);
+            row.along += weight * (off * over - row.along);
         }
         let seen = took / launch.ahead;
         let ratio = seen / b.pace;
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -48,9 +48,14 @@
     /// Where a load report holds the commands in flight and those queued.
     pub report_held: Option<usize>,
     pub report_queued: Option<usize>,
+    /// Reports come with answers, not with probes alone.
+    pub reports_come: bool,
     pub most_launches: usize,
     /// Whether two launches of a command may be out at a time.
     pub second_copies: bool,
+    pub cancel: bool,
+    /// How long a connection without a launch stays open.
+    pub conn_idle: Span,
     pub longest_come_back: Span,
     pub probe_price: f64,
     pub crossing_price: f64,
@@ -147,6 +152,11 @@
             Some(key) => key.items()?.iter().map(|k| k.value.as_str().unwrap_or_default()).collect(),
             None => Vec::new(),
         };
+        let hows = [("piggyback", true), ("pull", false), ("silent", false)];
+        let reports_come = match top.maybe("report").and_then(|r| r.maybe("how")) {
+            Some(key) => key.one_of(&hows)?,
+            None => false,
+        };
         let place = |name| names.iter().position(|n| *n == name);
         let payoffs = [("request", false), ("work", true)];
         Ok(Terms {
@@ -162,8 +172,11 @@
             may_probe: flag("mayProbe")?,
             report_held: place("outstanding"),
             report_queued: place("backlog"),
+            reports_come,
             most_launches: limits.at("mostLaunches")?.number(1.0, 1e6)? as usize,
             second_copies: flag("secondCopies")?,
+            cancel: flag("cancel")?,
+            conn_idle: limits.maybe("connIdle").map_or(Ok(Span(0)), |key| key.span())?,
             longest_come_back: match come_back {
                 true => limits.at("maxRetryAfter")?.span()?,
                 false => Span(0),
