Keep commands of a key together; share cold backends by what is done; launch when nothing is out

Change: the two picks of a command with a key are the key's first places among those met, by an order that all nodes share, tokens first, more places for a key that draws much; a node that has launched nothing for a second takes its chance; answers over new connections teach no times where reports come with answers; a node's part of a cold backend is what each has done for it of late, where that is more; closing keeps to 0.8 of the former mean.

--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -5,6 +5,7 @@
 use crate::desk::Desk;
 use crate::launch::{Cargo, Launcher, TIME_LEFT};
 use crate::limits::Limits;
+use crate::list::mark;
 use crate::log::note;
 use crate::serve::serve;
 use crate::start::Names;
@@ -36,6 +37,7 @@
 const TAG: &str = "idempotency-key";
 const HINT: &str = "x-weight-hint";
 const REPEAT: &str = "x-repeat";
+const FACTS: &str = "x-facts";
 
 /// What belongs to one connection and not to the command on it.
 const HOP_BY_HOP: [HeaderName; 8] = [
@@ -179,10 +181,19 @@
         // A guess that cannot be read is none.
         command.hint = text(HINT).and_then(|h| h.parse().ok()).map(Span);
         command.repeat = text(REPEAT) == Some("1");
+        command.key = text(FACTS).map_or(0, key);
         Ok(command)
     }
 }
 
+/// What the command is about, of its further facts (`name=value,name=value`): the same number for the same key
+/// at every node; 0 where there is none.
+fn key(facts: &str) -> u64 {
+    let pairs = facts.split(',').filter_map(|pair| pair.split_once('='));
+    let key = pairs.filter(|(name, _)| name.trim() == "nameKey").map(|(_, value)| value.trim()).next();
+    key.filter(|key| !key.is_empty() && *key != "0").map_or(0, |key| mark(key).max(1))
+}
+
 /// Headers as they go on: all but those of the connection they came on.
 pub fn onward(mut headers: HeaderMap) -> HeaderMap {
     let named: Vec<HeaderName> = headers
@@ -197,3 +208,21 @@
     }
     headers
 }
+
+#[cfg(test)]
+mod tests {
+    use super::key;
+
+    /// Nodes that read another key, or none, would each go their own way with it.
+    #[test]
+    fn keys_among_the_facts() {
+        let same = key("nameKey=5c0f");
+        assert_ne!(same, 0);
+        for facts in ["nameKey=5c0f", "size=3, nameKey = 5c0f", "nameKey=5c0f,nameKey=6"] {
+            assert_eq!(key(facts), same, "{facts}");
+        }
+        for facts in ["", "nameKey", "nameKey=", "nameKey=0", "namekeys=5c0f", "a=b"] {
+            assert_eq!(key(facts), 0, "{facts}");
+        }
+    }
+}
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -41,7 +41,7 @@
 }
 
 /// A name as a number: the same at every node, as the hasher has no key of its own.
-fn mark(name: &str) -> u64 {
+pub fn mark(name: &str) -> u64 {
     BuildHasherDefault::<DefaultHasher>::default().hash_one(name)
 }
 
@@ -89,6 +89,11 @@
         let address = address.ok_or("address is not an address with a port")?;
         let listed = Listed {
             mark: mark(name),
+            size: entry
+                .get("weight")
+                .and_then(Value::as_f64)
+                .filter(|w| (1e-3..1e6).contains(w))
+                .unwrap_or(1.0),
             zone: ZoneId(place(&self.names.zones, entry, "zone")? as u16),
             kind: KindId(place(&self.names.kinds, entry, "type")? as u8),
             group: GroupId(number(entry, "group")? as u16),
--- a/crates/rehearsal/src/model/fleet.rs
+++ b/crates/rehearsal/src/model/fleet.rs
@@ -94,6 +94,7 @@
         self.retired.push(false);
         self.said.push(Listed {
             mark: number,
+            size: 1.0,
             backend: BackendId(number as u32),
             zone: ZoneId(place.0),
             kind: KindId(kind as u8),
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -57,6 +57,7 @@
 fn listed(entry: &[u8]) -> Result<Listed, String> {
     Ok(Listed {
         mark: u64::from(u32_at(entry, 0)),
+        size: f64::from(f32::from_bits(u32_at(entry, 10))),
         backend: BackendId(u32_at(entry, 0)),
         zone: ZoneId(u16_at(entry, 4)),
         kind: KindId(entry[6]),
@@ -193,6 +194,7 @@
         let attrs = u16_at(event, 39);
         command.hint = (attrs & 1 != 0).then(|| micros(u64_at(event, 31)));
         command.repeat = attrs & 2 != 0;
+        command.key = u64_at(event, 15);
         let key = self.hands.insert(InHand { command, armed: None });
         self.by_id.insert(id.0, key);
         self.again(now, key, reply);
--- a/src/command.rs
+++ b/src/command.rs
@@ -65,6 +65,8 @@
     pub ends: Moment,
     pub hint: Option<Span>,
     pub repeat: bool,
+    /// What it is about; commands with equal keys are related, and 0 says nothing.
+    pub key: u64,
     pub closed: bool,
     pub(crate) seen: bool,
     pub(crate) waiting: bool,
@@ -88,6 +90,7 @@
             ends: now + left,
             hint: None,
             repeat: false,
+            key: 0,
             closed: false,
             seen: false,
             waiting: false,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -104,6 +104,8 @@
     /// Commands of late, halved in four seconds.
     met: f64,
     met_at: Moment,
+    /// Work that each backend met has done for it of late, fading as they do.
+    done: f64,
     pool: Vec<usize>,
     rows: Vec<Row>,
     /// The usual work over all profiles.
@@ -115,6 +117,7 @@
     held: Vec<Held>,
     errands: Vec<Errand>,
     order: u64,
+    launched_at: Moment,
     margin: f64,
     /// Relaunches that may still be made.
     relaunches: f64,
@@ -124,7 +127,7 @@
     /// What launches take of their goal time, of late.
     fill: f64,
     /// What came of late, by value and cost.
-    recent: [(f64, f64); RECENT],
+    recent: [(f64, f64, u64); RECENT],
     /// Commands of others that backends hold, by the reports of late.
     crowd: f64,
     /// How often backends that were idle, as reports had it, came late or full.
@@ -169,6 +172,12 @@
 const DIALS_FAIL: f64 = 0.15;
 const DIALS_HALVE: Span = Span::millis(4000);
 
+/// Places that a key has for each backend's worth of commands: its work is about halved where it is known.
+const HOT: f64 = 0.75;
+
+/// So long without a launch a node takes its chance.
+const ALONE: Span = Span::millis(1000);
+
 /// A launch out for so many times what was expected is written off, past its goal time and within it: sooner
 /// where its answer is worth nothing any more, later where a second copy may follow.
 const LOST: [f64; 2] = [6.0, 10.0];
@@ -423,7 +432,9 @@
         command.order = self.order;
         // A node meets as many backends as it can send to in half a token's life: spread over hundreds it
         // would know none of them, while other nodes meet others.
-        self.met = 1.0 + self.met * (-now.since(self.met_at).micros() / 4e6).exp2();
+        let fade = (-now.since(self.met_at).micros() / 4e6).exp2();
+        self.met = 1.0 + self.met * fade;
+        self.done *= fade;
         self.met_at = now;
         let rate = self.met * std::f64::consts::LN_2 / 4e6;
         let fewest = if self.sighted() { FEWEST * 3 / 2 } else { FEWEST };
@@ -456,7 +467,7 @@
         }
         // A client's repeat has spent part of its goal time somewhere else.
         command.value = if command.repeat { value * 0.5 } else { value };
-        self.recent[self.order as usize % RECENT] = (command.value, cost.max(1.0));
+        self.recent[self.order as usize % RECENT] = (command.value, cost.max(1.0), command.key);
         // Two nodes go by late launches, many by how much of the goal time all of them take. Some credit, or
         // single heavy commands would turn away work all the time.
         let unseen = self.unseen();
@@ -478,7 +489,7 @@
 
     /// The mean to keep to: that of a third of the accepted late share, as backends differ.
     fn target(&self) -> f64 {
-        -1.0 / (0.2 * self.accepted()).ln()
+        -0.8 / (0.2 * self.accepted()).ln()
     }
 
     /// Whether a command is of the dearest work that comes, as far as the node is open: drawn among equals,
@@ -486,7 +497,7 @@
     fn admitted(&mut self, command: &Command) -> bool {
         let draw = self.unit();
         let (mut dearer, mut all) = (0.0, 0.0);
-        for &(value, cost) in &self.recent {
+        for &(value, cost, _) in &self.recent {
             all += cost;
             dearer +=
                 if value > command.value { cost } else { f64::from(value == command.value) * draw * cost };
@@ -685,8 +696,19 @@
             // When all look bad, all are as good as any.
             pool.extend(ready[..reach].iter().copied().filter(|&i| self.room(now, i, command)));
         }
+        if pool.is_empty()
+            && now.since(self.launched_at) > ALONE
+            && ready[..reach].iter().all(|&i| self.backends[i].in_flight == 0)
+        {
+            // With nothing out nothing more is learned: what it believes would keep this node shut for good.
+            let tried = |&&i: &&usize| self.willing_at_all(now, i, command);
+            pool.extend(ready[..reach].iter().filter(tried).copied());
+        }
         let mut best = None;
-        if first && !explore {
+        if self.terms.warm_keys && command.key != 0 && !explore {
+            best = self.warm_place(now, command, &pool, ready.len());
+        }
+        if best.is_none() && first && !explore {
             best = self.oldest_token(now, &pool);
         }
         if best.is_none() && !pool.is_empty() {
@@ -712,6 +734,36 @@
         best
     }
 
+    /// Where the command's key is likely to have been met lately: the less busy of two among the key's first
+    /// places in an order that all nodes share. A key that draws much has as many places as its traffic needs.
+    fn warm_place(&self, now: Moment, command: &Command, pool: &[usize], all: usize) -> Option<usize> {
+        let alike = self.recent.iter().filter(|(_, _, key)| *key == command.key).count();
+        let places = 3 + ((alike - 1) as f64 / RECENT as f64 * all as f64 * HOT) as usize;
+        let rank = |&i: &usize| {
+            let at = &self.backends[i].listed;
+            (portion::key_rank(at.mark, at.size, command.key) * 1e9) as u64
+        };
+        let mut found: Vec<usize> = pool.to_vec();
+        found.sort_by_cached_key(rank);
+        found.truncate(places + 1);
+        let busy = |i: usize| f64::from(self.backends[i].in_flight) + self.others(now, &self.backends[i]);
+        let least = |among: &[usize]| among.iter().copied().min_by(|&a, &b| busy(a).total_cmp(&busy(b)));
+        let few = places.min(found.len());
+        if few == 0 {
+            return None;
+        }
+        if let Some(best) = self.oldest_token(now, &found[..few]) {
+            return Some(best);
+        }
+        let two = [self.hash(command.order) as usize % few, self.hash(!command.order) as usize % few];
+        let best = least(&two.map(|n| found[n]))?;
+        if busy(best) <= 1.5 * self.crowd + 2.0 {
+            Some(best)
+        } else {
+            least(&found)
+        }
+    }
+
     /// Speed in coarse steps, so that like backends stay alike and age decides among their tokens.
     fn step(&self, b: &Backend) -> i64 {
         (4.0 * (b.pace * self.dear_way(b)).log2()).round() as i64
@@ -734,21 +786,26 @@
         held.min_by_key(|&i| (self.step(&self.backends[i]), self.backends[i].token))
     }
 
+    fn willing_at_all(&self, now: Moment, i: usize, command: &Command) -> bool {
+        let b = &self.backends[i];
+        b.bad < 0.3 && self.allowed(i, command) && self.pour(now, b, self.cost(command)).is_some()
+    }
+
     fn connected(&self, now: Moment, i: usize) -> bool {
         self.backends[i].open > 0 && now < self.backends[i].open_until
     }
 
+    /// Whether it may go there at all: not where it was, and within what its profile allows.
+    fn allowed(&self, i: usize, command: &Command) -> bool {
+        let (at, bounds) = (&self.backends[i].listed, self.bounds(command));
+        !command.launches().any(|l| l.backend == at.backend)
+            && bounds.zone.is_none_or(|z| z == at.zone)
+            && bounds.group.is_none_or(|g| g == at.group)
+    }
+
     fn room(&self, now: Moment, i: usize, command: &Command) -> bool {
         let b = &self.backends[i];
-        if f64::from(b.in_flight) + 1.0 > b.cap.floor()
-            || command.launches().any(|l| l.backend == b.listed.backend)
-        {
-            return false;
-        }
-        let bounds = self.bounds(command);
-        if bounds.zone.is_some_and(|z| z != b.listed.zone)
-            || bounds.group.is_some_and(|g| g != b.listed.group)
-        {
+        if f64::from(b.in_flight) + 1.0 > b.cap.floor() || !self.allowed(i, command) {
             return false;
         }
         let cost = self.cost(command);
@@ -781,10 +838,16 @@
         (f64::from(self.terms.nodes) * part.min(1.0)).max(1.0)
     }
 
+    /// Our part of what goes to a backend: as one of like nodes that meet it, or by what the fleet has done for us
+    /// of late if that is more: most nodes carry little, some far more, and no fleet does more than it can.
+    fn share(&self) -> f64 {
+        (1.0 / self.sharers()).max(self.done * std::f64::consts::LN_2 / 4e6)
+    }
+
     /// Our part of what a cold backend can take in a microsecond beyond what it gets done: the vessel full
     /// and what drains of it meanwhile come to less than all.
     fn part(&self, now: Moment, started: Moment) -> f64 {
-        0.47 * (self.terms.push_over_multiple - 1.0).max(0.1) * self.warmth(now, started) / self.sharers()
+        0.47 * (self.terms.push_over_multiple - 1.0).max(0.1) * self.warmth(now, started) * self.share()
     }
 
     /// What a cold backend was given and has not done, as a vessel that drains in the stated span: its level
@@ -870,6 +933,7 @@
         b.pending += cost;
         b.poured = level;
         b.poured_at = now;
+        self.launched_at = now;
         command.add(Launch {
             backend: b.listed.backend,
             zone: b.listed.zone,
@@ -1099,6 +1163,10 @@
             b.token = (b.ghost_left(now) == 0.0).then_some(now);
         }
         b.answers += 1;
+        self.done += launch.cost / self.reach.min(self.near).min(self.ready.len()).max(1) as f64;
+        if launch.dialled && self.terms.reports_come {
+            return; // how long the handshake took tells nothing of the work
+        }
         let part = took * launch.cost / launch.ahead.max(1.0);
         // A single heavy command must not make a backend look slow: nothing counts for more than four times.
         self.answers += 1.0;
--- a/src/listed.rs
+++ b/src/listed.rs
@@ -25,6 +25,8 @@
     pub backend: BackendId,
     /// Says the same of it at every node.
     pub mark: u64,
+    /// What it is registered as able to do, beside the others.
+    pub size: f64,
     pub zone: ZoneId,
     pub kind: KindId,
     pub group: GroupId,
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -54,6 +54,8 @@
     /// Whether two launches of a command may be out at a time.
     pub second_copies: bool,
     pub cancel: bool,
+    /// A backend that met a key lately has less work with it.
+    pub warm_keys: bool,
     /// How long a connection without a launch stays open.
     pub conn_idle: Span,
     pub longest_come_back: Span,
@@ -176,6 +178,10 @@
             most_launches: limits.at("mostLaunches")?.number(1.0, 1e6)? as usize,
             second_copies: flag("secondCopies")?,
             cancel: flag("cancel")?,
+            warm_keys: top
+                .maybe("familyInfo")
+                .and_then(|f| f.maybe("warmKeys"))
+                .map_or(Ok(false), |k| k.flag())?,
             conn_idle: limits.maybe("connIdle").map_or(Ok(Span(0)), |key| key.span())?,
             longest_come_back: match come_back {
                 true => limits.at("maxRetryAfter")?.span()?,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -223,6 +223,9 @@
             t["guarantees"]["startCapacity"] = 0.5.into();
         });
         bench.warm_up_costs();
+        // What the fleet has done for each of them of late is next to nothing.
+        bench.later(60_000);
+        bench.finish_one();
         let started = bench.now.0 - 1000;
         bench.line(ListKind::Whole, (7, State::Ready, started));
         for _ in 0..100 {
@@ -395,3 +398,81 @@
         assert!((least..=most).contains(&wait), "{takes} ms: it waits {wait} us");
     }
 }
+
+/// A node with one command a second learns nothing while it launches nothing: after one slow first answer it
+/// found no backend good enough, held every command to its end, and stayed so for the rest of the day.
+#[test]
+fn a_node_with_nothing_out_takes_its_chance() {
+    let mut bench = Bench::with(3, |json| json["limits"]["secondCopies"] = false.into());
+    bench.list_groups(&groups(4, 4));
+    let mut command = bench.command(0);
+    assert!(matches!(bench.place(&mut command), Say::Launch(_)));
+    bench.finish(&mut command, 450);
+    let mut launched = 0;
+    for _ in 0..5 {
+        bench.later(1500);
+        let mut command = bench.command(0);
+        if let Say::Launch(_) = settled(&mut bench, &mut command) {
+            launched += 1;
+            bench.finish(&mut command, 20);
+        }
+    }
+    assert!(launched >= 4, "{launched}");
+}
+
+/// Most commands with a key go to the few places that all nodes have for it, so that a backend that met the key
+/// lately is met again; without the setting keys say nothing.
+#[test]
+fn commands_with_a_key_keep_together() {
+    for (warm, most) in [(true, 4), (false, 12)] {
+        let mut places = std::collections::BTreeSet::new();
+        for node in 0..6 {
+            let mut bench = Bench::with(20 + node, |json| {
+                json["familyInfo"]["warmKeys"] = warm.into();
+                json["balancers"] = 6.into();
+                json["me"] = node.into();
+            });
+            bench.list_groups(&groups(8, 4));
+            for n in 0..30 {
+                let mut command = bench.command(0);
+                // The key is one of thirty: no more than chance among the last ones.
+                command.key = if n % 10 == 0 { 77 } else { 1000 + n };
+                let Say::Launch(backend) = settled(&mut bench, &mut command) else { continue };
+                if command.key == 77 {
+                    places.insert(backend);
+                }
+                bench.finish(&mut command, 20);
+            }
+        }
+        assert!(places.len() <= most && (warm || places.len() > 4), "{warm}: {places:?}");
+    }
+}
+
+/// Most nodes carry little and some far more: by the count of nodes alone the busy ones kept from a cold
+/// backend what it could well have taken.
+#[test]
+fn a_busy_node_has_the_larger_part_of_a_cold_backend() {
+    let given = |pause: u64| {
+        let mut bench = Bench::with(5, |json| json["balancers"] = 400.into());
+        bench.warm_up_costs();
+        bench.list_groups(&groups(4, 4));
+        for _ in 0..40 {
+            let mut command = bench.command(0);
+            bench.place(&mut command);
+            bench.finish(&mut command, pause);
+        }
+        bench.line(ListKind::Whole, (50, State::Ready, bench.now.0));
+        (0..100)
+            .filter(|_| {
+                bench.later(pause);
+                let mut command = bench.command(0);
+                let sent = matches!(bench.place(&mut command), Say::Launch(_));
+                if sent {
+                    bench.finish(&mut command, 10);
+                }
+                sent
+            })
+            .count()
+    };
+    assert!(given(10) > 2 * given(400) / 3 && given(10) > 10, "{} {}", given(10), given(400));
+}
