--- a/tests/help/mod.rs
+++ b/tests/help/mod.rs
@@ -79,13 +79,6 @@
         std::iter::from_fn(|| self.node.errand(self.now)).collect()
     }
 
-    pub fn finish_one(&mut self) {
-        let mut command = self.command(0);
-        if matches!(self.place(&mut command), Say::Launch(_)) {
-            self.finish(&mut command, 1);
-        }
-    }
-
     /// Teaches the node that a command takes about 50 ms, on a backend that then goes.
     pub fn warm_up_costs(&mut self) {
         self.line(ListKind::Whole, (99, State::Ready, 0));
