--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -6,7 +6,6 @@
 use crate::launch::{Cargo, Launcher, TIME_LEFT};
 use crate::limits::Limits;
 use crate::list::mark;
-use crate::log::note;
 use crate::serve::serve;
 use crate::start::Names;
 use crate::stop::Stop;
@@ -25,7 +24,7 @@
 use tokio::time::timeout;
 use tower::Service;
 use yarrowfront::command::Command;
-use yarrowfront::ids::{CommandId, CustomerId, ProfileId};
+use yarrowfront::ids::{CommandId, ProfileId};
 use yarrowfront::terms::Effect;
 use yarrowfront::times::Span;
 
@@ -33,7 +32,6 @@
 
 const ID: &str = "x-correlation-id";
 const PROFILE: &str = "x-service-class";
-const CUSTOMER: &str = "x-account";
 const TAG: &str = "idempotency-key";
 const HINT: &str = "x-weight-hint";
 const REPEAT: &str = "x-repeat";
@@ -166,18 +164,8 @@
         let left = text(TIME_LEFT).ok_or_else(|| format!("{TIME_LEFT} is missing"))?;
         let left: u64 = left.parse().map_err(|_| format!("{TIME_LEFT} is not whole milliseconds"))?;
         let left = Duration::from_millis(left).min(self.limits.longest_command);
-        let customer = match text(CUSTOMER) {
-            _ if self.names.customers.is_empty() => CustomerId(0),
-            account => match self.names.customers.iter().position(|n| Some(n.as_str()) == account) {
-                Some(n) => CustomerId(n as u32),
-                None => {
-                    note!("intake: {CUSTOMER} {account:?} is unknown: counted against nobody's quota");
-                    CustomerId(u32::MAX)
-                }
-            },
-        };
         let (now, profile) = (self.desk.clock.now(), ProfileId(profile as u16));
-        let mut command = Command::new(CommandId(0), profile, customer, now, Span(left.as_micros() as u64));
+        let mut command = Command::new(CommandId(0), profile, now, Span(left.as_micros() as u64));
         // A guess that cannot be read is none.
         command.hint = text(HINT).and_then(|h| h.parse().ok()).map(Span);
         command.repeat = text(REPEAT) == Some("1");
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -11,7 +11,6 @@
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
     pub profiles: Vec<String>,
-    pub customers: Vec<String>,
     pub report: Vec<String>,
 }
 
@@ -87,7 +86,6 @@
             zones: texts(&file, "settings.zones", None)?,
             kinds: texts(&file, "settings.flavors", None)?,
             profiles: texts(&file, "settings.profiles", Some("name"))?,
-            customers: texts(&file, "settings.tenants", Some("name"))?,
             report: texts(&file, "settings.report.names", None)?,
         };
         let longest = terms.profiles.iter().map(|p| p.time_limit).max().unwrap_or_default();
--- a/crates/rehearsal/src/virtual_clock.rs
+++ b/crates/rehearsal/src/virtual_clock.rs
@@ -15,7 +15,7 @@
 use slab::Slab;
 use yarrowfront::command::{Command, Fate, Outcome};
 use yarrowfront::decide::{Errand, ListKind, Listed, Say, State};
-use yarrowfront::ids::{BackendId, CommandId, CustomerId, Hand, ProfileId};
+use yarrowfront::ids::{BackendId, CommandId, Hand, ProfileId};
 use yarrowfront::times::{Moment, Span};
 
 /// Where a scenario's time starts on the clock: moment 0 means "long ago" to the module.
@@ -553,9 +553,9 @@
         let Some(w) = self.wants.get(want) else { return };
         let (wanted, repeat) = (&w.wanted, w.tries > 1);
         let (command, profile, work) = (wanted.number, wanted.profile, wanted.work);
-        let (id, customer) = (CommandId(number as u32), CustomerId(wanted.customer));
+        let id = CommandId(number as u32);
         let left = until.since(self.now);
-        let mut own = Command::new(id, ProfileId(profile), customer, self.now, left);
+        let mut own = Command::new(id, ProfileId(profile), self.now, left);
         own.hint = wanted.hint.map(|h| Span(h as u64));
         own.repeat = repeat && self.scenario.clients.mark_repeats;
         self.judges.see(Seen::Taken { attempt: number, command, profile, node, at: self.now, until });
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -7,7 +7,7 @@
 use std::hash::BuildHasherDefault;
 use yarrowfront::command::{Command, Outcome};
 use yarrowfront::decide::{Balancer, Errand, ListKind, Listed, Say, State};
-use yarrowfront::ids::{BackendId, CommandId, CustomerId, GroupId, Hand, KindId, ProfileId, ZoneId};
+use yarrowfront::ids::{BackendId, CommandId, GroupId, Hand, KindId, ProfileId, ZoneId};
 use yarrowfront::terms::Terms;
 use yarrowfront::times::{Moment, Span};
 
@@ -189,8 +189,7 @@
             return Err(format!("band: there is no profile {profile}"));
         }
         let id = CommandId(u32_at(event, 5));
-        let customer = CustomerId(u32_at(event, 11));
-        let mut command = Command::new(id, ProfileId(profile), customer, now, micros(u64_at(event, 23)));
+        let mut command = Command::new(id, ProfileId(profile), now, micros(u64_at(event, 23)));
         let attrs = u16_at(event, 39);
         command.hint = (attrs & 1 != 0).then(|| micros(u64_at(event, 31)));
         command.repeat = attrs & 2 != 0;
--- /dev/null
+++ b/src/backend.rs
@@ -0,0 +1,56 @@
+//! What a node has in its books of one backend: figures and sums, and no choice.
+
+use crate::command::Launch;
+use crate::listed::Listed;
+use crate::times::Moment;
+
+#[derive(Default)]
+pub(crate) struct Backend {
+    pub(crate) listed: Listed,
+    pub(crate) token: Option<Moment>,
+    pub(crate) served: bool,
+    pub(crate) in_flight: u32,
+    /// Expected work of our launches in flight, in standard microseconds.
+    pub(crate) pending: f64,
+    /// Work given up on that may still fill the backend, as of `ghost_at`.
+    pub(crate) ghost: f64,
+    pub(crate) ghost_at: Moment,
+    /// Since when it has owed us an answer without giving any.
+    pub(crate) quiet_since: Moment,
+    /// Time taken for each unit of expected work ahead; and the same where nothing was ahead.
+    pub(crate) pace: f64,
+    pub(crate) solo: f64,
+    pub(crate) answers: u32,
+    pub(crate) cap: f64,
+    pub(crate) good: f64,
+    pub(crate) bad: f64,
+    pub(crate) weighed_at: Moment,
+    /// Commands of others there, by the last report.
+    pub(crate) others: f64,
+    pub(crate) report_at: Moment,
+    pub(crate) probe_out: Option<Moment>,
+    /// The last probe found nobody.
+    pub(crate) down: bool,
+    pub(crate) poured: f64,
+    pub(crate) poured_at: Moment,
+    /// Connections that our answers left open, until when.
+    pub(crate) open: u32,
+    pub(crate) open_until: Moment,
+}
+
+impl Backend {
+    pub(crate) fn ghost_left(&self, now: Moment) -> f64 {
+        (self.ghost - now.since(self.ghost_at).micros() / self.pace).max(0.0)
+    }
+
+    /// Work given up on goes on there for all we know.
+    pub(crate) fn haunt(&mut self, now: Moment, cost: f64) {
+        (self.ghost, self.ghost_at) = (self.ghost_left(now) + cost, now);
+    }
+
+    /// A launch holds its place no longer.
+    pub(crate) fn release(&mut self, launch: &Launch) {
+        self.in_flight -= 1;
+        self.pending = if self.in_flight == 0 { 0.0 } else { (self.pending - launch.cost).max(0.0) };
+    }
+}
--- a/src/command.rs
+++ b/src/command.rs
@@ -1,6 +1,6 @@
 //! A command in hand and what became of its launches.
 
-use crate::ids::{BackendId, CommandId, CustomerId, GroupId, ProfileId, ZoneId};
+use crate::ids::{BackendId, CommandId, GroupId, ProfileId, ZoneId};
 use crate::times::{Moment, Span};
 
 /// How a launch ended, as the caller saw it.
@@ -59,7 +59,6 @@
 pub struct Command {
     pub id: CommandId,
     pub profile: ProfileId,
-    pub customer: CustomerId,
     pub arrived: Moment,
     /// When the client gives this try up.
     pub ends: Moment,
@@ -81,11 +80,10 @@
 }
 
 impl Command {
-    pub fn new(id: CommandId, profile: ProfileId, customer: CustomerId, now: Moment, left: Span) -> Command {
+    pub fn new(id: CommandId, profile: ProfileId, now: Moment, left: Span) -> Command {
         Command {
             id,
             profile,
-            customer,
             arrived: now,
             ends: now + left,
             hint: None,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,15 +1,13 @@
 //! All decisions of one node: distributed Join-Idle-Queue without token withdrawals (docs/design.md).
-//!
-//! The caller keeps commands and timers in hand and asks three things: `place` (where does this command go:
-//! a backend, not yet, or never), `after` (what follows this outcome) and `wait` (how long until asking
-//! again, for a command or for the node itself). Facts are told through `list`, `report` and `dropped`.
-//! What the node wants besides (probes, list calls, asking a held command again) comes out of
-//! `errand` as plain values. Nothing here blocks, reads a clock or touches a socket.
+//! `place`, `after` and `wait` say what becomes of a command; facts come in by `list`, `report` and `dropped`, and
+//! what the node wants besides goes out by `errand`. Nothing here blocks, reads a clock or touches a socket.
 
+use crate::backend::Backend;
 use crate::command::{Command, Fate, Launch, Outcome, MOST_LAUNCHES};
 use crate::ids::{BackendId, GroupId, Hand, KindId, ZoneId};
 pub use crate::listed::{ListKind, Listed, State};
 use crate::portion;
+pub use crate::say::{Errand, Say};
 use crate::terms::{Among, Effect, Profile, Terms};
 use crate::times::{Moment, Span};
 use std::cmp::Reverse;
@@ -17,61 +15,6 @@
 use std::collections::BTreeMap;
 use std::hash::Hasher;
 
-/// What to do with a command now. `NotYet` leaves it in hand, held or with a launch out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Say {
-    Launch(BackendId),
-    NotYet,
-    TurnBack(Span),
-    Errored,
-    /// Stop waiting for this launch; its outcome then says what follows.
-    CallOff(u8),
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Errand {
-    Probe(BackendId),
-    Follow,
-    /// Close the idle connections there.
-    Close(BackendId),
-    /// Ask `place` for this held command again.
-    Again(Hand),
-}
-
-#[derive(Default)]
-struct Backend {
-    listed: Listed,
-    token: Option<Moment>,
-    served: bool,
-    in_flight: u32,
-    /// Expected work of our launches in flight, in standard microseconds.
-    pending: f64,
-    /// Work given up on that may still fill the backend, as of `ghost_at`.
-    ghost: f64,
-    ghost_at: Moment,
-    /// Since when it has owed us an answer without giving any.
-    quiet_since: Moment,
-    /// Time taken for each unit of expected work ahead; and the same where nothing was ahead.
-    pace: f64,
-    solo: f64,
-    answers: u32,
-    cap: f64,
-    good: f64,
-    bad: f64,
-    weighed_at: Moment,
-    /// Commands of others there, by the last report.
-    others: f64,
-    report_at: Moment,
-    probe_out: Option<Moment>,
-    /// The last probe found nobody.
-    down: bool,
-    poured: f64,
-    poured_at: Moment,
-    /// Connections that our answers left open, until when.
-    open: u32,
-    open_until: Moment,
-}
-
 /// What is learned by profile: the usual work, and how far hints tell it.
 struct Row {
     mean: f64,
@@ -111,7 +54,6 @@
     /// The usual work over all profiles.
     usual: f64,
     answers: f64,
-    quotas: Vec<(f64, Moment)>,
     kind_pace: BTreeMap<KindId, f64>,
     /// Commands held, the next one to go last.
     held: Vec<Held>,
@@ -136,7 +78,6 @@
     common: f64,
     /// The share of new connections that failed, of late.
     dials: f64,
-    dials_at: Moment,
     probes: f64,
     probe_trip: f64,
     follow_at: Moment,
@@ -155,6 +96,10 @@
 const RECENT: usize = 32;
 /// How far one late launch closes the node: four in a row by half.
 const CLOSING: f64 = 0.15;
+/// The share of launches that may be late before the node closes, and the mean part of their goal time that
+/// launches are to take among many nodes: 0.8 of that with a fifth of the share late (docs/assumptions.md).
+const ACCEPTED: f64 = 0.1;
+const MEAN: f64 = 0.2045;
 /// Backends probed for a launch: three find an idle one nearly always at two thirds load.
 const ASKED: usize = 3;
 /// Rounds of them while none is found idle: at two thirds load the third leaves one in thirty.
@@ -168,11 +113,12 @@
 /// Answers of a profile before hints are heeded: a slope through fewer is chance.
 const HINTED: f64 = 12.0;
 
-/// The share of failed dials from which on only open connections are used, and how soon that is forgotten.
+/// The share of failed dials from which on only open connections are used.
 const DIALS_FAIL: f64 = 0.15;
-const DIALS_HALVE: Span = Span::millis(4000);
 
-/// Places that a key has for each backend's worth of commands: its work is about halved where it is known.
+/// Places that a key has: a token is found, or the less busy taken, of two. More for each backend's worth of
+/// commands, as their work is about halved where it is known.
+const PLACES: usize = 2;
 const HOT: f64 = 0.75;
 
 /// So long without a launch a node takes its chance.
@@ -184,23 +130,6 @@
 /// And within the goal time where the first is called off for the second: nothing is doubled.
 const CALLED_OFF: f64 = 7.0;
 
-impl Backend {
-    fn ghost_left(&self, now: Moment) -> f64 {
-        (self.ghost - now.since(self.ghost_at).micros() / self.pace).max(0.0)
-    }
-
-    /// Work given up on goes on there for all we know.
-    fn haunt(&mut self, now: Moment, cost: f64) {
-        (self.ghost, self.ghost_at) = (self.ghost_left(now) + cost, now);
-    }
-
-    /// A launch holds its place no longer.
-    fn release(&mut self, launch: &Launch) {
-        self.in_flight -= 1;
-        self.pending = if self.in_flight == 0 { 0.0 } else { (self.pending - launch.cost).max(0.0) };
-    }
-}
-
 impl Balancer {
     pub fn new(terms: Terms, seed: u64, now: Moment) -> Balancer {
         // Until an answer tells, a command is taken to need a tenth of its goal time: that is tried anywhere.
@@ -208,7 +137,6 @@
         let usual = 0.1 * goal;
         let row = |_| Row { mean: usual, answers: 0.0, hint: 0.0, spread: 0.0, along: 0.0 };
         let rows = terms.profiles.iter().map(row).collect();
-        let quotas = terms.customers.iter().map(|_| (0.0, now)).collect();
         let mut node = Balancer {
             terms,
             seed,
@@ -217,14 +145,13 @@
             met_at: now,
             rows,
             usual,
-            quotas,
             margin: 1.6,
             relaunches: 2.0,
             open: 1.0,
             follow_at: Moment(u64::MAX),
             ..Balancer::default()
         };
-        node.fill = node.target();
+        node.fill = MEAN;
         if node.terms.must_ask {
             node.follow_at = now + portion::turn(&node.terms).scaled(node.unit());
         }
@@ -435,6 +362,7 @@
         let fade = (-now.since(self.met_at).micros() / 4e6).exp2();
         self.met = 1.0 + self.met * fade;
         self.done *= fade;
+        self.dials *= fade;
         self.met_at = now;
         let rate = self.met * std::f64::consts::LN_2 / 4e6;
         let fewest = if self.sighted() { FEWEST * 3 / 2 } else { FEWEST };
@@ -453,27 +381,15 @@
         if !self.terms.payoff_by_work {
             value /= cost.max(1.0);
         }
-        if let Some((level, at)) = self.quotas.get_mut(command.customer.0 as usize) {
-            // Each node lets through its part of a customer's quota, a second's worth or ten at once.
-            let quota = self.terms.customers[command.customer.0 as usize].quota_per_s
-                / f64::from(self.terms.nodes.max(1));
-            *level = (*level + quota * now.since(*at).micros() / 1e6).min(quota.max(10.0));
-            *at = now;
-            if *level >= 1.0 {
-                *level -= 1.0;
-            } else {
-                value *= self.terms.surplus_payoff;
-            }
-        }
         // A client's repeat has spent part of its goal time somewhere else.
         command.value = if command.repeat { value * 0.5 } else { value };
         self.recent[self.order as usize % RECENT] = (command.value, cost.max(1.0), command.key);
         // Two nodes go by late launches, many by how much of the goal time all of them take. Some credit, or
         // single heavy commands would turn away work all the time.
         let unseen = self.unseen();
-        let apart = self.target() - self.fill;
+        let apart = MEAN - self.fill;
         let by_mean = unseen * apart * self.open * self.open;
-        let step = CLOSING * (self.accepted() * (1.0 - 0.8 * unseen) + by_mean);
+        let step = CLOSING * (ACCEPTED * (1.0 - 0.8 * unseen) + by_mean);
         self.open = (self.open + step).clamp(0.1, 1.4);
     }
 
@@ -482,16 +398,6 @@
         self.terms.may_probe && self.terms.probe_price > FOR_PROBES
     }
 
-    /// The share of launches that may be late before the node closes.
-    fn accepted(&self) -> f64 {
-        0.1
-    }
-
-    /// The mean to keep to: that of a third of the accepted late share, as backends differ.
-    fn target(&self) -> f64 {
-        -0.8 / (0.2 * self.accepted()).ln()
-    }
-
     /// Whether a command is of the dearest work that comes, as far as the node is open: drawn among equals,
     /// so that nodes neither close nor open all together.
     fn admitted(&mut self, command: &Command) -> bool {
@@ -672,8 +578,7 @@
         let reach = if first { self.reach.min(ready.len()) } else { ready.len() };
         self.common = self.common_share(&ready[..reach]);
         // Where new connections fail the open ones are all there is: each dial more is work for the backends.
-        let dials = self.dials * (-now.since(self.dials_at).micros() / DIALS_HALVE.micros()).exp2();
-        let open_only = dials > DIALS_FAIL
+        let open_only = self.dials > DIALS_FAIL
             && !explore
             && ready[..reach].iter().any(|&i| self.connected(now, i) || self.backends[i].in_flight > 0);
         let mut near = self.near;
@@ -701,14 +606,17 @@
             && ready[..reach].iter().all(|&i| self.backends[i].in_flight == 0)
         {
             // With nothing out nothing more is learned: what it believes would keep this node shut for good.
-            let tried = |&&i: &&usize| self.willing_at_all(now, i, command);
-            pool.extend(ready[..reach].iter().filter(tried).copied());
+            let cost = self.cost(command);
+            pool.extend(ready[..reach].iter().copied().filter(|&i| {
+                let b = &self.backends[i];
+                b.bad < 0.3 && self.allowed(i, command) && self.pour(now, b, cost).is_some()
+            }));
         }
-        let mut best = None;
         if self.terms.warm_keys && command.key != 0 && !explore {
-            best = self.warm_place(now, command, &pool, ready.len());
+            self.keep_warm(command, &mut pool, ready.len());
         }
-        if best.is_none() && first && !explore {
+        let mut best = None;
+        if first && !explore {
             best = self.oldest_token(now, &pool);
         }
         if best.is_none() && !pool.is_empty() {
@@ -734,48 +642,22 @@
         best
     }
 
-    /// Where the command's key is likely to have been met lately: the less busy of two among the key's first
-    /// places in an order that all nodes share. A key that draws much has as many places as its traffic needs.
-    fn warm_place(&self, now: Moment, command: &Command, pool: &[usize], all: usize) -> Option<usize> {
+    /// Those of a pool where the command's key is likely to have been met lately: the first in an order that all
+    /// nodes share. A key that draws much has as many places as its traffic needs.
+    fn keep_warm(&self, command: &Command, pool: &mut Vec<usize>, all: usize) {
         let alike = self.recent.iter().filter(|(_, _, key)| *key == command.key).count();
-        let places = 3 + ((alike - 1) as f64 / RECENT as f64 * all as f64 * HOT) as usize;
-        let rank = |&i: &usize| {
-            let at = &self.backends[i].listed;
-            (portion::key_rank(at.mark, at.size, command.key) * 1e9) as u64
-        };
-        let mut found: Vec<usize> = pool.to_vec();
-        found.sort_by_cached_key(rank);
-        found.truncate(places + 1);
-        let busy = |i: usize| f64::from(self.backends[i].in_flight) + self.others(now, &self.backends[i]);
-        let least = |among: &[usize]| among.iter().copied().min_by(|&a, &b| busy(a).total_cmp(&busy(b)));
-        let few = places.min(found.len());
-        if few == 0 {
-            return None;
-        }
-        if let Some(best) = self.oldest_token(now, &found[..few]) {
-            return Some(best);
-        }
-        let two = [self.hash(command.order) as usize % few, self.hash(!command.order) as usize % few];
-        let best = least(&two.map(|n| found[n]))?;
-        if busy(best) <= 1.5 * self.crowd + 2.0 {
-            Some(best)
-        } else {
-            least(&found)
-        }
+        let drawn = alike.saturating_sub(1) as f64 / RECENT as f64;
+        let at = |i: &usize| &self.backends[*i].listed;
+        pool.sort_by_cached_key(|i| portion::key_rank(at(i).mark, at(i).size, command.key));
+        pool.truncate(PLACES + (drawn * HOT * all as f64) as usize);
     }
 
     /// Speed in coarse steps, so that like backends stay alike and age decides among their tokens.
     fn step(&self, b: &Backend) -> i64 {
-        (4.0 * (b.pace * self.dear_way(b)).log2()).round() as i64
-    }
-
-    /// A crossing counts as its price in units of a tenth of a command's time.
-    fn dear_way(&self, b: &Backend) -> f64 {
-        if b.listed.zone.0 == self.terms.zone {
-            1.0
-        } else {
-            1.0 + 10.0 * self.terms.crossing_price
-        }
+        let far = b.listed.zone.0 != self.terms.zone;
+        // A crossing counts as its price in units of a tenth of a command's time.
+        let dear = if far { 1.0 + 10.0 * self.terms.crossing_price } else { 1.0 };
+        (4.0 * (b.pace * dear).log2()).round() as i64
     }
 
     fn oldest_token(&self, now: Moment, pool: &[usize]) -> Option<usize> {
@@ -786,11 +668,6 @@
         held.min_by_key(|&i| (self.step(&self.backends[i]), self.backends[i].token))
     }
 
-    fn willing_at_all(&self, now: Moment, i: usize, command: &Command) -> bool {
-        let b = &self.backends[i];
-        b.bad < 0.3 && self.allowed(i, command) && self.pour(now, b, self.cost(command)).is_some()
-    }
-
     fn connected(&self, now: Moment, i: usize) -> bool {
         self.backends[i].open > 0 && now < self.backends[i].open_until
     }
@@ -1101,9 +978,7 @@
             self.backends[i].open = 0;
         }
         if launch.dialled {
-            let halved = (-now.since(self.dials_at).micros() / DIALS_HALVE.micros()).exp2();
-            let failed = f64::from(outcome == Outcome::Unreachable);
-            (self.dials, self.dials_at) = (self.dials * halved + 0.25 * (failed - self.dials * halved), now);
+            self.dials += 0.25 * (f64::from(outcome == Outcome::Unreachable) - self.dials);
         }
         if matches!(outcome, Outcome::Finished | Outcome::Errored | Outcome::Full) {
             let b = &mut self.backends[i];
@@ -1196,8 +1071,7 @@
         b.pace += weight * (seen.min(4.0 * b.pace) - b.pace);
         b.pace = b.pace.clamp(0.02, 50.0);
         // The margin follows the quantile of how far answers overrun what was expected of them.
-        let miss = 0.3;
-        self.margin += if ratio > self.margin { 0.05 * (1.0 - miss) } else { -0.05 * miss };
+        self.margin += if ratio > self.margin { 0.05 * 0.7 } else { -0.05 * 0.3 };
         self.margin = self.margin.clamp(1.0, 4.0);
         let b = &mut self.backends[i];
         // The cap grows while answers from a full backend come as soon as from an idle one.
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -14,6 +14,5 @@
     KindId(u8);
     GroupId(u16);
     ProfileId(u16);
-    CustomerId(u32);
     Hand(u32);
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,12 @@
 //! Load balancing decisions for fleets of HTTP servers. No I/O: see `decide` for the three calls.
 #![forbid(unsafe_code)]
 
+mod backend;
 pub mod command;
 pub mod decide;
 pub mod ids;
 pub mod listed;
 mod portion;
+pub mod say;
 pub mod terms;
 pub mod times;
--- a/src/portion.rs
+++ b/src/portion.rs
@@ -30,9 +30,9 @@
 
 /// A backend's place in the order of those that may hold what belongs to a key, the first the lowest: all nodes
 /// have one order a key, in which each backend stands first for as many keys as it is large.
-pub(crate) fn key_rank(mark: u64, size: f64, key: u64) -> f64 {
+pub(crate) fn key_rank(mark: u64, size: f64, key: u64) -> u64 {
     let draw = (rank(rank(mark) ^ key) >> 11) as f64 + 1.0;
-    -(draw / (1u64 << 53) as f64).ln() / size.max(1e-3)
+    (-(draw / (1u64 << 53) as f64).ln() / size.max(1e-3) * 1e9) as u64
 }
 
 /// Where in the order of so many backends this node starts.
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -27,11 +27,6 @@
     pub payoff: f64,
 }
 
-#[derive(Clone, Debug)]
-pub struct Customer {
-    pub quota_per_s: f64,
-}
-
 #[derive(Clone, Debug, Default)]
 pub struct Terms {
     pub nodes: u32,
@@ -39,8 +34,6 @@
     pub me: u32,
     pub zone: u16,
     pub profiles: Vec<Profile>,
-    pub customers: Vec<Customer>,
-    pub surplus_payoff: f64,
     pub payoff_by_work: bool,
     pub must_ask: bool,
     pub ask_within: Span,
@@ -146,10 +139,6 @@
         };
         let flag = |name| limits.maybe(name).map_or(Ok(false), |key| key.flag());
         let come_back = flag("retryAfter")?;
-        let mut customers = Vec::new();
-        for key in top.maybe("tenants").map_or(Ok(Vec::new()), |t| t.items())? {
-            customers.push(Customer { quota_per_s: key.at("quotaPerS")?.number(0.0, HUGE)? });
-        }
         let names = match top.maybe("report").and_then(|r| r.maybe("names")) {
             Some(key) => key.items()?.iter().map(|k| k.value.as_str().unwrap_or_default()).collect(),
             None => Vec::new(),
@@ -166,8 +155,6 @@
             me: top.maybe("me").map_or(Ok(0.0), |k| k.number(0.0, 1e6))? as u32,
             zone: top.at("zone")?.number(0.0, 65535.0)? as u16,
             profiles: top.at("profiles")?.items()?.iter().map(profile).collect::<Result<_, _>>()?,
-            customers,
-            surplus_payoff: top.maybe("surplusPayoff").map_or(Ok(1.0), |k| k.number(0.0, HUGE))?,
             payoff_by_work: top.maybe("payoffPer").map_or(Ok(false), |k| k.one_of(&payoffs))?,
             must_ask,
             ask_within: rules.maybe("askWithin").map_or(Ok(Span(10_000_000)), |k| k.span())?,
--- a/tests/help/mod.rs
+++ b/tests/help/mod.rs
@@ -3,7 +3,7 @@
 use serde_json::{json, Value};
 use yarrowfront::command::{Command, Outcome};
 use yarrowfront::decide::{Balancer, Errand, ListKind, Listed, Say, State};
-use yarrowfront::ids::{BackendId, CommandId, CustomerId, GroupId, Hand, KindId, ProfileId, ZoneId};
+use yarrowfront::ids::{BackendId, CommandId, GroupId, Hand, KindId, ProfileId, ZoneId};
 use yarrowfront::terms::Terms;
 use yarrowfront::times::{Moment, Span};
 
@@ -56,8 +56,8 @@
 
     pub fn command(&mut self, profile: u16) -> Command {
         self.commands += 1;
-        let (id, customer) = (CommandId(self.commands), CustomerId(0));
-        Command::new(id, ProfileId(profile), customer, self.now, Span::millis(500))
+        let id = CommandId(self.commands);
+        Command::new(id, ProfileId(profile), self.now, Span::millis(500))
     }
 
     pub fn place(&mut self, command: &mut Command) -> Say {
