Load new settings in a running node: ids that stay, terms that switch, all or nothing

Cause: SIGHUP took over the address of discovery alone; profiles, zones and kinds were known by their places in the file, so that another order would have slid under commands in hand and backends known. Change: names.rs keeps every name's id for the life of the process (a changed profile is another one), Balancer switches its terms in one call, dial, idle and stop times follow, load reports read before a switch are left out after it. A file that is bad in anything, or changes what only a restart can (name, listen, seed, descriptors, memory, cores), changes nothing and is told in one line, which no limit on lines holds back. The module's new settings (limits.cancel, limits.connIdle, report.how, familyInfo.warmKeys) are checked and optional. A list that has come stops the asking where it is pushed too. Tests: there, back and there again under load; each bad file; ids when names move; the module with a launch out.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -180,7 +180,7 @@
     };
     tokio::select! {
         () = gone => {}
-        () = node.stop.past(node.limits.end_by) => {
+        () = node.stop.past(node.limits.end_by.get()) => {
             note!("stop: {} connections still open", guests.here.borrow().len());
         }
     }
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -2,6 +2,7 @@
 //! besides is handed on as errands. No borrow lasts beyond a call.
 
 use crate::launch::Done;
+use crate::names::Names;
 use hyper::header::HeaderValue;
 use slab::Slab;
 use std::cell::{Cell, RefCell};
@@ -14,6 +15,7 @@
 use yarrowfront::command::{Command, Outcome};
 use yarrowfront::decide::{Balancer, Errand, ListKind, Listed, Say};
 use yarrowfront::ids::{BackendId, CommandId, Hand};
+use yarrowfront::terms::Terms;
 use yarrowfront::times::{Moment, Span};
 
 /// Unix time at start and a monotonic clock from there: a list's start times compare, and nothing runs back.
@@ -53,6 +55,7 @@
 
 struct Inner {
     module: Balancer,
+    names: Rc<Names>,
     hands: Slab<InHand>,
     /// What the clients call the commands in hand.
     open: HashSet<HeaderValue>,
@@ -75,13 +78,15 @@
 impl Desk {
     pub fn new(
         module: Balancer,
+        names: Names,
         clock: Clock,
         tick: Duration,
         errands: mpsc::UnboundedSender<Errand>,
     ) -> Desk {
         let (hands, ids) = (Slab::new(), HashMap::new());
         let (open, addresses) = (HashSet::new(), Vec::new());
-        let inner = RefCell::new(Inner { module, hands, open, ids, addresses, commands: 0 });
+        let names = Rc::new(names);
+        let inner = RefCell::new(Inner { module, names, hands, open, ids, addresses, commands: 0 });
         Desk { clock, tick, inner, errands, moved: Notify::new(), told: Cell::new(false) }
     }
 
@@ -146,12 +151,30 @@
             let command = &mut inner.hands[key].command;
             command.closed |= done.outcome == Outcome::Finished;
             let say = inner.module.after(now, hand, command, done.number, done.outcome);
-            inner.module.report(now, done.backend, true, None, &done.report);
+            // By the order of fields that it was read in: after a switch that may be another.
+            let report = done.report.as_ref().filter(|(turn, _)| *turn == inner.names.turn);
+            inner.module.report(now, done.backend, true, None, report.map_or(&[], |(_, values)| values));
             inner.let_go(key);
             say
         })
     }
 
+    /// The names that the module's ids have now.
+    pub fn names(&self) -> Rc<Names> {
+        self.inner.borrow().names.clone()
+    }
+
+    /// Goes by other names and terms from this call on; held commands are asked for again by them.
+    pub fn switch(&self, names: Names, terms: Terms) {
+        self.ask(|inner, _| {
+            inner.names = Rc::new(names);
+            inner.module.switch(terms);
+            for (_, held) in &inner.hands {
+                held.again.notify_one();
+            }
+        });
+    }
+
     /// Its client has its answer, or has gone.
     pub fn leave(&self, hand: Hand) {
         self.ask(|inner, _| {
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -7,7 +7,6 @@
 use crate::limits::Limits;
 use crate::list::mark;
 use crate::serve::serve;
-use crate::start::Names;
 use crate::stop::Stop;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -24,7 +23,7 @@
 use tokio::time::timeout;
 use tower::Service;
 use yarrowfront::command::Command;
-use yarrowfront::ids::{CommandId, ProfileId};
+use yarrowfront::ids::CommandId;
 use yarrowfront::terms::Effect;
 use yarrowfront::times::Span;
 
@@ -55,8 +54,6 @@
     pub launcher: Launcher,
     pub limits: Rc<Limits>,
     pub room: Room,
-    pub names: Rc<Names>,
-    pub effects: Vec<Effect>,
     pub stop: Rc<Stop>,
 }
 
@@ -152,19 +149,19 @@
             return Err(format!("{ID} is missing, or there are more of them"));
         }
         let name = text(PROFILE).ok_or_else(|| format!("{PROFILE} is missing"))?;
-        let profile = self.names.profiles.iter().position(|p| p == name);
-        let profile = profile.ok_or_else(|| format!("{PROFILE} is unknown"))?;
+        let names = self.desk.names();
+        let (profile, by) = names.profile(name).ok_or_else(|| format!("{PROFILE} is unknown"))?;
         if method != Method::GET && method != Method::POST {
             return Err("only GET and POST are commands".into());
         }
         // Without its tag a repeat would not be known as one.
-        if self.effects[profile] == Effect::Tagged && text(TAG).is_none_or(str::is_empty) {
+        if by.effect == Effect::Tagged && text(TAG).is_none_or(str::is_empty) {
             return Err(format!("{TAG} is missing"));
         }
         let left = text(TIME_LEFT).ok_or_else(|| format!("{TIME_LEFT} is missing"))?;
         let left: u64 = left.parse().map_err(|_| format!("{TIME_LEFT} is not whole milliseconds"))?;
         let left = Duration::from_millis(left).min(self.limits.longest_command);
-        let (now, profile) = (self.desk.clock.now(), ProfileId(profile as u16));
+        let now = self.desk.clock.now();
         let mut command = Command::new(CommandId(0), profile, now, Span(left.as_micros() as u64));
         // A guess that cannot be read is none.
         command.hint = text(HINT).and_then(|h| h.parse().ok()).map(Span);
--- a/crates/node/src/launch.rs
+++ b/crates/node/src/launch.rs
@@ -5,7 +5,6 @@
 use crate::log::note;
 use crate::pool::{Exchange, NoLease, Pool};
 use crate::probe;
-use crate::start::Names;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderValue};
@@ -55,13 +54,14 @@
     pub backend: BackendId,
     pub outcome: Outcome,
     pub answer: Option<Answer>,
-    pub report: Vec<f32>,
+    /// Its load report, and by which turn of the names it was read.
+    pub report: Option<(u32, Vec<f32>)>,
 }
 
 impl Done {
     /// Its node no longer waits for it: it may have run.
     pub fn called_off(number: u8, backend: BackendId) -> Done {
-        Done { number, backend, outcome: Outcome::Cancelled, answer: None, report: Vec::new() }
+        Done { number, backend, outcome: Outcome::Cancelled, answer: None, report: None }
     }
 }
 
@@ -69,7 +69,6 @@
 pub struct Launcher {
     pub pool: Rc<Pool>,
     pub desk: Rc<Desk>,
-    pub names: Rc<Names>,
 }
 
 impl Service<Launch> for Launcher {
@@ -97,7 +96,7 @@
 impl Launcher {
     async fn run(&self, launch: Launch) -> Done {
         let (number, backend) = (launch.number, launch.backend);
-        let mut done = Done { number, backend, outcome: Outcome::Unsent, answer: None, report: Vec::new() };
+        let mut done = Done { number, backend, outcome: Outcome::Unsent, answer: None, report: None };
         let until = self.desk.clock.instant(launch.ends);
         let Some(address) = launch.address else { return done };
         loop {
@@ -136,7 +135,8 @@
     fn read(&self, done: &mut Done, response: Response<Bytes>) {
         let (head, body) = response.into_parts();
         if let Some(load) = head.headers.get(BACKEND_LOAD) {
-            done.report = probe::report(&self.names.report, load.as_bytes()).unwrap_or_default();
+            let names = self.desk.names();
+            done.report = probe::report(&names.report, load.as_bytes()).map(|values| (names.turn, values));
         }
         let unprocessed = head.headers.get(UNPROCESSED).is_some_and(|v| v.as_bytes().trim_ascii() == b"1");
         done.outcome = match head.status {
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -1,5 +1,7 @@
-//! Every size, count and time that bounds the node: filled once at start and handed down.
+//! Every size, count and time that bounds the node: filled once at start and handed down. What the settings
+//! say of them follows when they change; descriptors and memory are the process's own and stay.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 pub struct Limits {
@@ -24,11 +26,11 @@
     pub overlong_bytes: usize,
     /// Connections that the kernel may hold until they are accepted.
     pub backlog: u32,
-    pub dial: Duration,
+    pub dial: Cell<Duration>,
     /// How long a pooled connection may take to be ready: it has only to notice that its last answer is over.
     pub ready_wait: Duration,
     /// How long a connection to a backend may stand idle.
-    pub backend_idle: Duration,
+    pub backend_idle: Cell<Duration>,
     /// A probe's answer: it comes beside the queue, so in about a trip.
     pub probe_wait: Duration,
     /// A line of the list or a sign of life: two beats of two seconds, and something for the way.
@@ -37,7 +39,7 @@
     pub accept_on: Duration,
     pub idle_on: Duration,
     /// When the node ends even if a client still owes the rest of a command.
-    pub end_by: Duration,
+    pub end_by: Cell<Duration>,
     /// How long the kernel's last connections are looked for.
     pub last_look: Duration,
     /// A connection without a command for so long is idle; before, its first may be on the way.
@@ -85,16 +87,16 @@
             // Clients open a third of the descriptors for commands: half of that may stand idle.
             kept_sockets: sockets / 6,
             backlog: 1024,
-            dial,
+            dial: Cell::new(dial),
             ready_wait: Duration::from_millis(20),
             // Whatever the way takes, and however late the node is: half of it is well before.
-            backend_idle: idle / 2,
+            backend_idle: Cell::new(idle / 2),
             probe_wait: Duration::from_millis(50),
             beat_wait: Duration::from_millis(4300),
             accept_on: Duration::from_millis(500),
             idle_on: Duration::from_millis(600),
             // A kill comes 700 ms after the longest time limit at the soonest.
-            end_by: Duration::from_millis(650) + limit,
+            end_by: Cell::new(Duration::from_millis(650) + limit),
             last_look: Duration::from_millis(20),
             settle: Duration::from_millis(100),
             // Whoever sends nothing of use is told so, or is gone, within three seconds of coming.
@@ -109,4 +111,12 @@
             notes_per_s: 5,
         }
     }
+
+    /// Goes by what another file says from now on.
+    pub fn follow(&self, other: &Limits) {
+        self.dial.set(other.dial.get());
+        self.backend_idle.set(other.backend_idle.get());
+        // A command in hand may still have the longer one.
+        self.end_by.set(self.end_by.get().max(other.end_by.get()));
+    }
 }
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -3,7 +3,6 @@
 use crate::desk::{Desk, Line};
 use crate::limits::Limits;
 use crate::log::note;
-use crate::start::Names;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::client::conn::http1;
@@ -25,7 +24,6 @@
 pub struct Lister {
     pub desk: Rc<Desk>,
     pub limits: Rc<Limits>,
-    pub names: Rc<Names>,
     /// The version that this node has.
     pub index: u64,
 }
@@ -87,6 +85,7 @@
     fn whole_line(&self, entry: &Value, name: &str, state: State) -> Result<Line, String> {
         let address = entry.get("address").and_then(Value::as_str).and_then(|a| a.parse().ok());
         let address = address.ok_or("address is not an address with a port")?;
+        let names = self.desk.names();
         let listed = Listed {
             mark: mark(name),
             size: entry
@@ -94,8 +93,8 @@
                 .and_then(Value::as_f64)
                 .filter(|w| (1e-3..1e6).contains(w))
                 .unwrap_or(1.0),
-            zone: ZoneId(place(&self.names.zones, entry, "zone")? as u16),
-            kind: KindId(place(&self.names.kinds, entry, "type")? as u8),
+            zone: ZoneId(place(&names.zones, entry, "zone")? as u16),
+            kind: KindId(place(&names.kinds, entry, "type")? as u8),
             group: GroupId(number(entry, "group")? as u16),
             state,
             started: Moment(number(entry, "since_ms")?.saturating_mul(1000)),
@@ -133,7 +132,7 @@
     }
 
     async fn watch(&mut self, discovery: SocketAddr) -> Result<(), String> {
-        let stream = timeout(self.limits.dial, TcpStream::connect(discovery)).await;
+        let stream = timeout(self.limits.dial.get(), TcpStream::connect(discovery)).await;
         let stream = stream.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?;
         stream.set_nodelay(true).map_err(|e| e.to_string())?;
         let (mut sender, connection) =
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod list;
 mod log;
+mod names;
 mod pool;
 mod probe;
 mod reload;
@@ -42,26 +43,25 @@
 }
 
 async fn run(start: start::Start) -> Result<(), String> {
-    let (limits, names) = (Rc::new(start.limits), Rc::new(start.names));
+    let limits = Rc::new(start.limits);
     log::allow(limits.notes_per_s);
     let clock = Clock::start();
-    let effects = start.terms.profiles.iter().map(|p| p.effect).collect();
     let must_ask = start.terms.must_ask;
     let (errand, mut errands) = mpsc::unbounded_channel();
     let module = Balancer::new(start.terms, start.seed, clock.now());
-    let desk = Rc::new(Desk::new(module, clock, limits.tick, errand));
+    let desk = Rc::new(Desk::new(module, start.names, clock, limits.tick, errand));
     let room = bodies::Room::new(limits.held_bytes);
     let pool = Rc::new(pool::Pool::new(limits.clone(), room.clone()));
 
-    let mut lister =
-        list::Lister { desk: desk.clone(), limits: limits.clone(), names: names.clone(), index: 0 };
+    let mut lister = list::Lister { desk: desk.clone(), limits: limits.clone(), index: 0 };
     if let Some(Err(why)) = start.known.map(|known| lister.told(&known, true)) {
         return Err(format!("known: {why}"));
     }
     let listener = accept::bind(start.listen, limits.backlog).map_err(|e| format!("listen: {e}"))?;
     let stop = Rc::new(stop::Stop::new());
     let (moved, discovery) = watch::channel(start.discovery);
-    let reload = reload::Reload::new(moved).map_err(|e| format!("SIGHUP: {e}"))?;
+    let reload = reload::Reload::new(moved, start.file, desk.clone(), limits.clone())
+        .map_err(|e| format!("SIGHUP: {e}"))?;
     spawn_local(reload.run());
     let (follow, followed) = mpsc::unbounded_channel();
     if !must_ask {
@@ -70,12 +70,7 @@
     }
     spawn_local(lister.run(followed, discovery));
 
-    let prober = probe::Prober {
-        desk: desk.clone(),
-        pool: pool.clone(),
-        limits: limits.clone(),
-        names: names.clone(),
-    };
+    let prober = probe::Prober { desk: desk.clone(), pool: pool.clone(), limits: limits.clone() };
     let (pool_of_errands, kept) = (pool.clone(), desk.clone());
     spawn_local(async move {
         while let Some(errand) = errands.recv().await {
@@ -103,9 +98,8 @@
         }
     });
 
-    let launcher = launch::Launcher { pool, desk: desk.clone(), names: names.clone() };
+    let launcher = launch::Launcher { pool, desk: desk.clone() };
     note!("{}: listening on {}", start.name, start.listen);
-    accept::accept(listener, Rc::new(intake::Node { desk, launcher, limits, room, names, effects, stop }))
-        .await;
+    accept::accept(listener, Rc::new(intake::Node { desk, launcher, limits, room, stop })).await;
     Ok(())
 }
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -112,7 +112,7 @@
 
     /// Whether an idle connection may still be used, if that is where the backend is.
     fn good(&self, idle: &Idle, address: Option<SocketAddr>) -> bool {
-        idle.since.elapsed() < self.limits.backend_idle
+        idle.since.elapsed() < self.limits.backend_idle.get()
             && address == Some(idle.lease.address)
             && !idle.lease.sender.is_closed()
     }
@@ -130,7 +130,7 @@
             builder.handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await.ok()
         };
         let (sender, connection) =
-            timeout(self.limits.dial, up).await.ok().flatten().ok_or(NoLease::Unreachable)?;
+            timeout(self.limits.dial.get(), up).await.ok().flatten().ok_or(NoLease::Unreachable)?;
         let task = tokio::task::spawn_local(async move {
             // What breaks here is told to whoever holds the sender.
             let _ = connection.await;
--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -4,7 +4,6 @@
 use crate::limits::Limits;
 use crate::log::note;
 use crate::pool::{Exchange, Pool};
-use crate::start::Names;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderValue, HOST};
@@ -45,7 +44,6 @@
     pub desk: Rc<Desk>,
     pub pool: Rc<Pool>,
     pub limits: Rc<Limits>,
-    pub names: Rc<Names>,
 }
 
 impl Prober {
@@ -70,7 +68,7 @@
             return match self.pool.exchange(backend, lease, request).await {
                 Exchange::Stale => continue,
                 Exchange::Came(response) if response.status() == StatusCode::OK => {
-                    Some(report(&self.names.report, response.body()).unwrap_or_default())
+                    Some(report(&self.desk.names().report, response.body()).unwrap_or_default())
                 }
                 _ => None,
             };
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -1,18 +1,12 @@
 //! What the node is told at start: the variables, and the file they name.
 
 use crate::limits::Limits;
+use crate::names::Names;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
 use yarrowfront::terms::Terms;
-
-/// Names on the sockets whose places in these lists are the module's ids.
-pub struct Names {
-    pub zones: Vec<String>,
-    pub kinds: Vec<String>,
-    pub profiles: Vec<String>,
-    pub report: Vec<String>,
-}
+use yarrowfront::times::Span;
 
 pub struct Start {
     pub name: String,
@@ -24,6 +18,8 @@
     pub limits: Limits,
     /// The list as this node last had it.
     pub known: Option<Value>,
+    /// All of the file, to tell what another one changes.
+    pub file: Value,
 }
 
 /// Walks down to a value and names the key if it isn't there.
@@ -60,7 +56,11 @@
             None => format!("{path}[{i}] is not a text"),
         })
     };
-    list.iter().enumerate().map(item).collect()
+    let found: Vec<String> = list.iter().enumerate().map(item).collect::<Result<_, String>>()?;
+    match found.iter().enumerate().find(|(i, text)| found[..*i].contains(text)) {
+        Some((_, twice)) => Err(format!("{path} names {twice:?} twice")),
+        None => Ok(found),
+    }
 }
 
 impl Start {
@@ -81,13 +81,18 @@
         let seed = text(&file, "seed")?;
         let seed = u64::from_str_radix(&seed, 16).map_err(|_| format!("seed is not hexadecimal: {seed}"))?;
         let settings = at(&file, "settings")?;
-        let terms = Terms::from_json(settings.to_string().as_bytes())?;
-        let names = Names {
-            zones: texts(&file, "settings.zones", None)?,
-            kinds: texts(&file, "settings.flavors", None)?,
-            profiles: texts(&file, "settings.profiles", Some("name"))?,
-            report: texts(&file, "settings.report.names", None)?,
-        };
+        let mut terms = Terms::from_json(settings.to_string().as_bytes())?;
+        let zones = texts(&file, "settings.zones", None)?;
+        if !zones.is_empty() && usize::from(terms.zone) >= zones.len() {
+            return Err(format!("settings.zone: there is no zone {} in settings.zones", terms.zone));
+        }
+        let names = Names::new(
+            zones,
+            texts(&file, "settings.flavors", None)?,
+            texts(&file, "settings.profiles", Some("name"))?,
+            texts(&file, "settings.report.names", None)?,
+            &terms,
+        );
         let longest = terms.profiles.iter().map(|p| p.time_limit).max().unwrap_or_default();
         let limits = Limits::fill(
             number(&file, "limits.sockets")? as usize,
@@ -96,7 +101,9 @@
             nanos(&file, "settings.limits.connIdle")?,
             Duration::from_micros(longest.0),
         );
+        // The pool lets go of connections before their backend does: only those it has count.
+        terms.conn_idle = Span(limits.backend_idle.get().as_micros() as u64);
         let known = file.get("known").filter(|k| !k.is_null()).cloned();
-        Ok(Start { name, listen, discovery, seed, terms, names, limits, known })
+        Ok(Start { name, listen, discovery, seed, terms, names, limits, known, file })
     }
 }
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -735,3 +735,133 @@
         assert!(text.contains(key), "{key}: {text}");
     }
 }
+
+/// The same deployment in another shape: names in another order, some changed, new and left out; the list comes
+/// by itself, no two launches are out at once, reports come with answers and in other fields.
+fn other_shape(config: &Value) -> Value {
+    let mut other = config.clone();
+    let settings = &mut other["settings"];
+    let profiles = settings["profiles"].clone();
+    let mut lookup = profiles[0].clone();
+    (lookup["name"], lookup["goalTime"]) = ("lookup".into(), 800_000_000.into());
+    let mut read = profiles[0].clone();
+    read["goalTime"] = 900_000_000.into();
+    settings["profiles"] = json!([profiles[2], lookup, read]);
+    settings["zones"] = json!(["there", "here"]);
+    settings["zone"] = 1.into();
+    settings["flavors"] = json!(["large", "small"]);
+    settings["discovery"] = "push".into();
+    settings["balancers"] = 20.into();
+    settings["limits"]["secondCopies"] = false.into();
+    settings["limits"]["connIdle"] = 10_000_000_000u64.into();
+    settings["familyInfo"] = json!({"warmKeys": true});
+    settings["report"] = json!({"how": "piggyback", "names": ["backlog", "outstanding"]});
+    other
+}
+
+/// There and back under load: what is in hand at the moment of a switch ends by what it came in under, each command
+/// is answered once, and a once-only one is launched once; new ones go by the new names at once.
+#[test]
+fn a_switch_under_load_and_back() {
+    let patient = |config: &mut Value| {
+        for profile in config["settings"]["profiles"].as_array_mut().expect("profiles") {
+            profile["goalTime"] = 1_000_000_000.into();
+            profile["timeLimit"] = 2_000_000_000.into();
+        }
+    };
+    let mut world = World::new(3, |_| Act::Late, patient);
+    let (first, second) = (world.config.clone(), other_shape(&world.config));
+    until("a watch", || world.watches.load(SeqCst) >= 1);
+    for (shape, gone, new) in
+        [(&second, "mark", "lookup"), (&first, "lookup", "mark"), (&second, "mark", "lookup")]
+    {
+        let before = world.launched();
+        let mut streams = Vec::new();
+        // More than have room at once: some are out and some are held when the signal comes.
+        for n in 0..24 {
+            let profile = ["read", "pay", gone][n % 3];
+            let mut stream = world.connect();
+            stream.write_all(command(profile, profile, "").as_bytes()).expect("written");
+            streams.push(stream);
+        }
+        until("launches are out", || world.launched() >= before + 2);
+        let line = world.reload(&shape.to_string());
+        assert!(line.contains("changed: ") && line.contains("settings.profiles"), "{line}");
+        assert_eq!(world.command(gone).status(), 400, "{gone} is no profile now");
+        assert_ne!(world.command(new).status(), 400, "{new} is one now");
+        let mut finished = 0;
+        for mut stream in streams {
+            let status = read(&mut stream).expect("an answer").status();
+            assert!([200, 503].contains(&status), "{status}");
+            finished += usize::from(status == 200);
+            stream.set_read_timeout(Some(Duration::from_millis(20))).expect("a limit");
+            assert!(read(&mut stream).is_none(), "a second answer");
+        }
+        assert!(finished >= 2, "{finished}");
+        let launches = world.launches.lock().expect("launches");
+        let mut once: Vec<_> =
+            launches[before..].iter().map(|(_, m)| m).filter(|m| m.body == b"pay").collect();
+        let all = once.len();
+        once.sort_by_key(|m| m.header("x-correlation-id").map(str::to_owned));
+        once.dedup_by_key(|m| m.header("x-correlation-id").map(str::to_owned));
+        assert_eq!(once.len(), all, "a once-only command was launched twice");
+    }
+    // One watch throughout; told the same again nothing changes, and the list goes on being heeded.
+    assert!(world.reload(&second.to_string()).contains("as they were"));
+    assert_eq!(world.watches.load(SeqCst), 1);
+    let mut gone = world.entries[0].clone();
+    gone["status"] = "draining".into();
+    world
+        .list
+        .send(json!({"index": 9, "snapshot": false, "endpoints": [gone]}).to_string())
+        .expect("a watch");
+    until("b0 drains", || {
+        let before = world.launched();
+        (0..6).for_each(|_| drop(world.command("read")));
+        world.launches.lock().expect("launches")[before..].iter().all(|(n, _)| *n != 0)
+    });
+    // A drain outlives the switch: nothing has said since that it is over.
+    world.reload(&first.to_string());
+    let before = world.launched();
+    (0..6).for_each(|_| drop(world.command("read")));
+    assert!(world.launches.lock().expect("launches")[before..].iter().all(|(n, _)| *n != 0));
+}
+
+/// Whatever is wrong with a new file, nothing changes, and one line names the key.
+#[test]
+fn bad_new_files() {
+    let mut world = World::new(1, |_| Act::Finish, |_| {});
+    let good = other_shape(&world.config);
+    type Change = fn(&mut Value);
+    let cases: &[(&str, Change)] = &[
+        ("name takes a restart", |c| c["name"] = "n2".into()),
+        ("listen takes a restart", |c| c["listen"] = "127.0.0.1:9".into()),
+        ("seed takes a restart", |c| c["seed"] = "8d".into()),
+        ("limits.sockets takes a restart", |c| c["limits"]["sockets"] = 512.into()),
+        ("limits.memory_mb takes a restart", |c| c["limits"]["memory_mb"] = 64.into()),
+        ("settings is missing", |c| c["settings"] = Value::Null),
+        ("guarantees.fall is missing", |c| c["settings"]["guarantees"]["fall"] = Value::Null),
+        ("guarantees.startCapacity is out of its range", |c| {
+            c["settings"]["guarantees"]["startCapacity"] = 2.into();
+        }),
+        ("discovery has an unknown value", |c| c["settings"]["discovery"] = "guess".into()),
+        ("report.how has an unknown value", |c| c["settings"]["report"]["how"] = "often".into()),
+        ("familyInfo.warmKeys is not true or false", |c| {
+            c["settings"]["familyInfo"]["warmKeys"] = "yes".into();
+        }),
+        ("limits.cancel is not true or false", |c| c["settings"]["limits"]["cancel"] = 1.into()),
+        ("limits.connIdle", |c| c["settings"]["limits"]["connIdle"] = "long".into()),
+        ("settings.zones names \"here\" twice", |c| c["settings"]["zones"] = json!(["here", "here"])),
+        ("settings.profiles names \"pay\" twice", |c| c["settings"]["profiles"][1]["name"] = "pay".into()),
+        ("settings.zone", |c| c["settings"]["zone"] = 2.into()),
+    ];
+    for (key, change) in cases {
+        let mut config = good.clone();
+        change(&mut config);
+        let line = world.reload(&config.to_string());
+        assert!(line.contains("the old configuration stays") && line.contains(key), "{key}: {line}");
+        // By the old settings `mark` is a profile and `lookup` is none.
+        let statuses = [world.command("mark").status(), world.command("lookup").status()];
+        assert_eq!(statuses, [200, 400], "{key}");
+    }
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -25,6 +25,12 @@
     along: f64,
 }
 
+impl Row {
+    fn new(mean: f64) -> Row {
+        Row { mean, answers: 0.0, hint: 0.0, spread: 0.0, along: 0.0 }
+    }
+}
+
 struct Held {
     value: f64,
     order: u64,
@@ -135,8 +141,7 @@
         // Until an answer tells, a command is taken to need a tenth of its goal time: that is tried anywhere.
         let goal = terms.profiles.iter().map(|p| p.goal_time.micros()).fold(0.0, f64::max);
         let usual = 0.1 * goal;
-        let row = |_| Row { mean: usual, answers: 0.0, hint: 0.0, spread: 0.0, along: 0.0 };
-        let rows = terms.profiles.iter().map(row).collect();
+        let rows = terms.profiles.iter().map(|_| Row::new(usual)).collect();
         let mut node = Balancer {
             terms,
             seed,
@@ -250,7 +255,7 @@
             self.follow_at = now + pause.scaled(0.5 + self.unit());
             return;
         }
-        if kind != ListKind::Cached && self.terms.must_ask {
+        if kind != ListKind::Cached {
             self.failures = 0;
             self.follow_at = Moment(u64::MAX);
         }
@@ -270,6 +275,10 @@
                 backend.token = None;
             }
         }
+        self.arrange();
+    }
+
+    fn arrange(&mut self) {
         let backends = &self.backends;
         self.ready.sort_by_cached_key(|&i| portion::rank(backends[i].listed.mark));
         let start = portion::place(&self.terms, self.ready.len());
@@ -277,6 +286,15 @@
         self.wake_next();
     }
 
+    /// Goes by other terms from now on. Profiles keep their places and new ones stand behind them, so that a
+    /// command ends by what it came in under; what is known of backends, and what is out there, stays.
+    pub fn switch(&mut self, terms: Terms) {
+        self.terms = terms;
+        let usual = self.usual;
+        self.rows.resize_with(self.terms.profiles.len(), || Row::new(usual));
+        self.arrange();
+    }
+
     fn line(&mut self, now: Moment, line: Listed) {
         let kind_pace = self.kind_pace.get(&line.kind).copied().unwrap_or(1.0);
         // Many nodes' parts of a cold backend's budget come to less than a command each: their vessels start
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -17,7 +17,7 @@
     Group,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Profile {
     pub goal_time: Span,
     pub time_limit: Span,
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -5,6 +5,7 @@
 use help::{Bench, GOAL};
 use yarrowfront::command::Outcome::{self, *};
 use yarrowfront::decide::{Errand, ListKind, Say, State};
+use yarrowfront::ids::BackendId;
 use yarrowfront::terms::Terms;
 use yarrowfront::times::Span;
 
@@ -559,3 +560,31 @@
     command.hint = Some(Span(3_000_000));
     assert!(matches!(bench.place(&mut command), Say::Launch(_)));
 }
+
+/// Other settings while commands are in hand: a command ends by the profile it came in under, a backend keeps what
+/// is known of it, and second copies that are no longer allowed are not made.
+#[test]
+fn other_terms_leave_what_is_in_hand() {
+    let mut bench = Bench::new(21);
+    bench.warm_up_costs();
+    bench.list_groups(&[(1, 0), (2, 0)]);
+    bench.line(ListKind::Changes, (2, State::Draining, 0));
+    let mut command = bench.command(0);
+    assert_eq!(bench.place(&mut command), Say::Launch(BackendId(1)));
+    let mut json = help::terms();
+    json["limits"]["secondCopies"] = false.into();
+    json["limits"]["cancel"] = false.into();
+    let mut once = json["profiles"][0].clone();
+    once["idempotency"] = "once".into();
+    json["profiles"].as_array_mut().expect("profiles").push(once);
+    bench.node.switch(Terms::from_json(json.to_string().as_bytes()).expect("good settings"));
+    command.launch(0).expect("launched").lost_at = bench.now;
+    assert_eq!(bench.place(&mut command), Say::NotYet, "the second copy");
+    // The profile it came in under is repeatable still: it may be turned back once its launch is over.
+    bench.later(GOAL);
+    assert!(matches!(bench.after(&mut command, 0, Outcome::TimedOut), Say::TurnBack(_)));
+    for profile in [0, 1] {
+        let mut next = bench.command(profile);
+        assert_ne!(bench.place(&mut next), Say::Launch(BackendId(2)), "it drains");
+    }
+}
