--- a/src/decide.rs
+++ b/src/decide.rs
@@ -103,9 +103,9 @@
 /// How far one late launch closes the node: four in a row by half.
 const CLOSING: f64 = 0.15;
 /// The share of launches that may be late before the node closes, and the mean part of their goal time that
-/// launches are to take among many nodes: 0.8 of that with a fifth of the share late (docs/assumptions.md).
+/// launches are to take among many nodes: 0.9 of that with a fifth of the share late (docs/assumptions.md).
 const ACCEPTED: f64 = 0.1;
-const MEAN: f64 = 0.2045;
+const MEAN: f64 = 0.23;
 /// Backends probed for a launch: three find an idle one nearly always at two thirds load.
 const ASKED: usize = 3;
 /// Rounds of them while none is found idle: at two thirds load the third leaves one in thirty.
