Fade what backends have done also where no command has come since

Cause: the cold backend's test let 300 first commands through once its warm-up lay a minute back: share() read the sum as of the last command, so that a node long idle took a busy minute's part (decide.rs, share). Change: the fade is reckoned when it is read.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -735,14 +735,15 @@
 
     /// Our part of what goes to a backend: as one of like nodes that meet it, or by what the fleet has done for us
     /// of late if that is more: most nodes carry little, some far more, and no fleet does more than it can.
-    fn share(&self) -> f64 {
-        (1.0 / self.sharers()).max(self.done * std::f64::consts::LN_2 / 4e6)
+    fn share(&self, now: Moment) -> f64 {
+        let fade = (-now.since(self.met_at).micros() / 4e6).exp2();
+        (1.0 / self.sharers()).max(self.done * fade * std::f64::consts::LN_2 / 4e6)
     }
 
     /// Our part of what a cold backend can take in a microsecond beyond what it gets done: the vessel full
     /// and what drains of it meanwhile come to less than all.
     fn part(&self, now: Moment, started: Moment) -> f64 {
-        0.47 * (self.terms.push_over_multiple - 1.0).max(0.1) * self.warmth(now, started) * self.share()
+        0.47 * (self.terms.push_over_multiple - 1.0).max(0.1) * self.warmth(now, started) * self.share(now)
     }
 
     /// What a cold backend was given and has not done, as a vessel that drains in the stated span: its level
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -225,10 +225,6 @@
         bench.warm_up_costs();
         // What the fleet has done for each of them of late is next to nothing.
         bench.later(60_000);
-        let mut command = bench.command(0);
-        if matches!(bench.place(&mut command), Say::Launch(_)) {
-            bench.finish(&mut command, 1);
-        }
         let started = bench.now.0 - 1000;
         bench.line(ListKind::Whole, (7, State::Ready, started));
         for _ in 0..100 {
