Let no test's process keep a port that another test has let go

Cause: one run of the switch's test found its node's address in use: between fork and exec a child of another test holds all sockets. Change: starting processes and letting go of a port take turns.

--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -139,6 +139,14 @@
     }
 }
 
+/// Held while a process is started and while a port is let go: between fork and exec a child has all sockets of
+/// this one, and a port that is closed meanwhile is still taken when its node comes up.
+static STARTING: Mutex<()> = Mutex::new(());
+
+fn alone() -> std::sync::MutexGuard<'static, ()> {
+    STARTING.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
 static WORLDS: AtomicUsize = AtomicUsize::new(0);
 
 /// A loopback address of its own for each node and its surroundings: ports that are free for a moment only
@@ -180,6 +188,7 @@
     std::fs::write(&file, config.to_string()).expect("a file");
     let mut command = Command::new(env!("CARGO_BIN_EXE_yarrowfront"));
     command.env_clear().env("ROUTER_CONFIG", &file).stderr(Stdio::piped()).stdout(Stdio::null());
+    let _alone = alone();
     (command.spawn().expect("the node starts"), folder)
 }
 
@@ -222,7 +231,10 @@
             }));
         }
         let (list, told, watches) = discovery(&own);
-        let (_, listen) = listener(&own);
+        let listen = {
+            let _alone = alone();
+            listener(&own).1
+        };
         let mut config = json!({
             "name": "n1", "listen": listen.to_string(), "discovery": told.to_string(),
             "seed": "8c1f30d27a5be964",
@@ -258,6 +270,7 @@
 
     fn signal(&self, name: &str) {
         let pid = self.node.id().to_string();
+        let _alone = alone();
         assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
     }
 
