Open a second address for operators: health, backends left out and used again, drain

Design: a listener of its own (admin.rs), hyper and a tower service like the first address, one call to a connection. What is left out is the module's: a set beside the list, so that no list, switch or new start takes it back. Not taken: a file or signal for drain (no answer, so nobody knows when it holds); a ban as a state of the list (the next whole list would end it); closing all idle connections at the call (the front has not noticed yet, and what crosses is lost). Change: a backend called back is cold from the call, all learned is void, and its token comes before all others until it is used: with ten idle others only a tenth of the commands would ever look at it. A start once known is not taken back by an older line.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -28,6 +28,9 @@
     /// Heads that hyper has handed on, and which of them told two lengths.
     heads: Cell<usize>,
     clash: Rc<Cell<Option<usize>>>,
+    /// Heads that hyper has handed on and that are not answered, and whether part of another is here.
+    open: Cell<usize>,
+    part: Rc<Cell<bool>>,
     /// A whole command has come on it.
     known: Cell<bool>,
     idle_since: Cell<Instant>,
@@ -48,11 +51,25 @@
 
 pub struct Busy<'a>(&'a Guest);
 
+pub struct Open(Rc<Guest>);
+
 impl Guest {
     fn new(guests: Rc<Guests>) -> Guest {
         let (came, close, clash) = (Instant::now(), Notify::new(), Rc::default());
-        let (commands, heads, known, evicted) = Default::default();
-        Guest { guests, came, commands, heads, clash, known, idle_since: Cell::new(came), close, evicted }
+        let (commands, heads, open, known, evicted, part) = Default::default();
+        Guest {
+            guests,
+            came,
+            commands,
+            heads,
+            clash,
+            open,
+            part,
+            known,
+            idle_since: Cell::new(came),
+            close,
+            evicted,
+        }
     }
 
     /// A head has been read. False if it told two lengths, so that nobody knows where its command ends.
@@ -83,6 +100,17 @@
         self.close.notify_one();
     }
 
+    /// Something from its client is open on it for as long as this lives.
+    pub fn open(self: &Rc<Guest>) -> Open {
+        self.open.set(self.open.get() + 1);
+        Open(self.clone())
+    }
+
+    /// Nothing that its client has sent is lost when it ends now.
+    fn idle(&self, least: Duration) -> bool {
+        self.open.get() == 0 && !self.part.get() && self.idle_since.get().elapsed() >= least
+    }
+
     /// A command is on it for as long as this lives.
     pub fn busy(&self) -> Busy<'_> {
         if !self.known.replace(true) {
@@ -113,6 +141,13 @@
     }
 }
 
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+        self.0.idle_since.set(Instant::now());
+    }
+}
+
 impl Drop for Busy<'_> {
     fn drop(&mut self) {
         self.0.commands.set(self.0.commands.get() - 1);
@@ -133,6 +168,7 @@
 pub async fn accept(listener: TcpListener, node: Rc<Node>) {
     let guests = Rc::new(Guests::default());
     let most = node.limits.client_sockets + node.limits.surplus_sockets;
+    tokio::task::spawn_local(send_away(guests.clone(), node.clone()));
     let mut over = pin!(node.stop.past(node.limits.accept_on));
     loop {
         let held = guests.here.borrow().len();
@@ -186,6 +222,18 @@
     }
 }
 
+/// While the operators send clients away, ends the connections on which nothing is open, as they come to be so.
+async fn send_away(guests: Rc<Guests>, node: Rc<Node>) {
+    let settle = node.limits.settle;
+    loop {
+        node.stop.away_for(node.limits.idle_on).await;
+        for (_, guest) in guests.here.borrow().iter().filter(|(_, g)| !g.evicted.get() && g.idle(settle)) {
+            guest.evict();
+        }
+        sleep(settle).await;
+    }
+}
+
 fn welcome(stream: TcpStream, guests: &Rc<Guests>, node: &Rc<Node>) {
     if let Err(error) = stream.set_nodelay(true) {
         note!("accept: {error}");
@@ -205,7 +253,8 @@
         let mut builder = http1::Builder::new();
         let limits = node.limits.clone();
         builder.max_buf_size(limits.head_bytes);
-        let followed = Followed { stream, heads: Heads::new(), clash: guest.clash.clone() };
+        let followed =
+            Followed { stream, heads: Heads::new(), clash: guest.clash.clone(), part: guest.part.clone() };
         let service = TowerToHyperService::new(Intake { node, guest: guest.clone() });
         let mut connection = pin!(builder.serve_connection(TokioIo::new(followed), service));
         let mut closing = false;
--- /dev/null
+++ b/crates/node/src/admin.rs
@@ -0,0 +1,206 @@
+//! The second address, where operators call: one call to a connection, answered by one line that says what is
+//! now so. A call that is answered with yes has taken effect before.
+
+use crate::desk::Desk;
+use crate::intake::{plain, Reply};
+use crate::limits::Limits;
+use crate::log::note;
+use crate::stop::Stop;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, ALLOW};
+use hyper::server::conn::http1;
+use hyper::{Method, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use hyper_util::service::TowerToHyperService;
+use percent_encoding::percent_decode_str;
+use slab::Slab;
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::{pin, Pin};
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::time::{sleep, Instant};
+use tower::Service;
+
+/// What a call asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    Ready,
+    Maint {
+        name: String,
+        out: bool,
+    },
+    /// Whether clients are to be sent away.
+    Drain(bool),
+}
+
+/// Why a call is none.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Refusal {
+    NoSuchPath,
+    /// The method that would be right there.
+    Method(&'static str),
+}
+
+/// What a method and a path ask for.
+pub fn call(method: &Method, path: &str) -> Result<Call, Refusal> {
+    let (call, right) = match path {
+        "/healthcheck" => (Call::Ready, Method::GET),
+        "/healthcheck/fail" => (Call::Drain(true), Method::PUT),
+        "/healthcheck/ok" => (Call::Drain(false), Method::PUT),
+        _ => {
+            let rest = path.strip_prefix("/backends/").ok_or(Refusal::NoSuchPath)?;
+            let (id, word) = rest.split_once('/').ok_or(Refusal::NoSuchPath)?;
+            let name = percent_decode_str(id).decode_utf8().map_err(|_| Refusal::NoSuchPath)?.into_owned();
+            match word {
+                "maint" => (Call::Maint { name, out: true }, Method::PUT),
+                "ready" => (Call::Maint { name, out: false }, Method::PUT),
+                _ => return Err(Refusal::NoSuchPath),
+            }
+        }
+    };
+    match *method == right {
+        true => Ok(call),
+        false => Err(Refusal::Method(if right == Method::GET { "GET" } else { "PUT" })),
+    }
+}
+
+/// A connection from an operator.
+struct Caller {
+    came: Instant,
+    /// Its call is here, whole.
+    heard: Cell<bool>,
+    go: Notify,
+}
+
+/// What the calls are answered from.
+pub struct Admin {
+    pub desk: Rc<Desk>,
+    pub stop: Rc<Stop>,
+    pub limits: Rc<Limits>,
+}
+
+/// The service that one connection sees.
+#[derive(Clone)]
+struct Window {
+    admin: Rc<Admin>,
+    caller: Rc<Caller>,
+}
+
+impl Service<Request<Incoming>> for Window {
+    type Response = Reply;
+    type Error = Infallible;
+    type Future = Pin<Box<dyn Future<Output = Result<Reply, Infallible>>>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: Request<Incoming>) -> Self::Future {
+        let Window { admin, caller } = self.clone();
+        Box::pin(async move { Ok(admin.answer(&caller, request).await) })
+    }
+}
+
+impl Admin {
+    async fn answer(&self, caller: &Caller, request: Request<Incoming>) -> Reply {
+        let (head, body) = request.into_parts();
+        // No call has a body; one that comes all the same is read, or its connection's end would take the answer.
+        let body = Limited::new(body, self.limits.admin_body_bytes);
+        if body.collect().await.is_err() {
+            return plain(StatusCode::PAYLOAD_TOO_LARGE, "a call has no body");
+        }
+        caller.heard.set(true);
+        match call(&head.method, head.uri.path()) {
+            Ok(call) => self.carry_out(call),
+            Err(Refusal::NoSuchPath) => plain(StatusCode::NOT_FOUND, "no such call"),
+            Err(Refusal::Method(right)) => {
+                let mut reply = plain(StatusCode::METHOD_NOT_ALLOWED, &format!("this takes {right}"));
+                reply.headers_mut().insert(ALLOW, HeaderValue::from_static(right));
+                reply
+            }
+        }
+    }
+
+    fn carry_out(&self, call: Call) -> Reply {
+        match call {
+            Call::Ready if self.stop.stopping() => plain(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
+            Call::Ready if !self.desk.told() => {
+                plain(StatusCode::SERVICE_UNAVAILABLE, "not ready: no list of backends yet")
+            }
+            Call::Ready if self.stop.drained() => plain(StatusCode::OK, "ready; clients are sent away"),
+            Call::Ready => plain(StatusCode::OK, "ready"),
+            Call::Maint { name, out } => {
+                let Some(backend) = self.desk.known(&name) else {
+                    note!("admin: {name:?} was never listed");
+                    return plain(StatusCode::NOT_FOUND, "no backend of this name was ever listed");
+                };
+                self.desk.maint(backend, out);
+                let now = if out { "is left out" } else { "is used" };
+                note!("admin: {name} {now}");
+                plain(StatusCode::OK, &format!("{name} {now}"))
+            }
+            Call::Drain(away) => {
+                self.stop.drain(away);
+                let now = if away { "clients are sent away" } else { "clients are taken" };
+                note!("admin: {now}");
+                plain(StatusCode::OK, now)
+            }
+        }
+    }
+
+    /// Takes calls for as long as the process lives.
+    pub async fn run(self: Rc<Admin>, listener: TcpListener) {
+        let callers: Rc<RefCell<Slab<Rc<Caller>>>> = Rc::default();
+        let left = Rc::new(Notify::new());
+        loop {
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    note!("admin: accept: {error}");
+                    sleep(self.limits.accept_pause).await;
+                    continue;
+                }
+            };
+            // The one that has said nothing whole for longest makes room: a call takes no time once it is here.
+            while callers.borrow().len() >= self.limits.admin_sockets {
+                if let Some(oldest) = oldest(&callers.borrow()) {
+                    oldest.go.notify_one();
+                }
+                left.notified().await;
+            }
+            let (came, heard, go) = (Instant::now(), Cell::new(false), Notify::new());
+            let caller = Rc::new(Caller { came, heard, go });
+            let key = callers.borrow_mut().insert(caller.clone());
+            let (admin, callers, left) = (self.clone(), callers.clone(), left.clone());
+            tokio::task::spawn_local(async move {
+                admin.attend(stream, caller).await;
+                callers.borrow_mut().remove(key);
+                left.notify_one();
+            });
+        }
+    }
+
+    async fn attend(self: Rc<Admin>, stream: TcpStream, caller: Rc<Caller>) {
+        let mut builder = http1::Builder::new();
+        builder.keep_alive(false).max_buf_size(self.limits.head_bytes);
+        let wait = self.limits.admin_wait;
+        let service = TowerToHyperService::new(Window { admin: self, caller: caller.clone() });
+        let connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+        tokio::select! {
+            _ = connection => {}
+            () = caller.go.notified() => {}
+            () = sleep(wait) => {}
+        }
+    }
+}
+
+/// The first to come of those whose call is not here yet.
+fn oldest(callers: &Slab<Rc<Caller>>) -> Option<Rc<Caller>> {
+    let silent = callers.iter().map(|(_, caller)| caller).filter(|caller| !caller.heard.get());
+    silent.min_by_key(|caller| caller.came).cloned()
+}
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -247,6 +247,16 @@
         found.map(|(name, _)| name.clone()).unwrap_or_default()
     }
 
+    /// The id of a backend that was ever listed.
+    pub fn known(&self, name: &str) -> Option<BackendId> {
+        self.inner.borrow().ids.get(name).copied()
+    }
+
+    /// Leaves a backend out, or uses it again, from this call on.
+    pub fn maint(&self, backend: BackendId, out: bool) {
+        self.ask(|inner, now| inner.module.maint(now, backend, out));
+    }
+
     pub fn address(&self, backend: BackendId) -> Option<SocketAddr> {
         self.inner.borrow().addresses.get(backend.0 as usize).copied().flatten()
     }
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -83,6 +83,7 @@
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
         let Intake { node, guest } = self.clone();
         let clear = guest.head();
+        let open = guest.open();
         Box::pin(async move {
             let mut reply = match clear {
                 true => node.answer(&guest, request).await,
@@ -90,9 +91,10 @@
             };
             // Where a client got one thing wrong, what stands behind it may be anything.
             let wrong = reply.status().is_client_error();
-            if wrong || guest.crowded(&node.limits) || node.stop.stopping() {
+            if wrong || guest.crowded(&node.limits) || node.stop.leaving() {
                 reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
+            drop(open);
             Ok(reply)
         })
     }
@@ -102,7 +104,7 @@
     async fn answer(&self, guest: &Guest, request: Request<Incoming>) -> Reply {
         match request.uri().path() {
             "/up" if request.method() == Method::GET => {
-                return match self.stop.stopping() || !self.desk.told() {
+                return match self.stop.leaving() || !self.desk.told() {
                     true => plain(StatusCode::SERVICE_UNAVAILABLE, "not taking commands"),
                     false => plain(StatusCode::OK, "up"),
                 };
--- a/crates/node/src/lengths.rs
+++ b/crates/node/src/lengths.rs
@@ -37,6 +37,11 @@
         Heads { at: At::Head, line, lines: 0, length: None, coded: false, ended: 0 }
     }
 
+    /// Whether part of a head is here and the rest is not.
+    fn part(&self) -> bool {
+        matches!(self.at, At::Head) && (self.lines > 0 || !self.line.is_empty())
+    }
+
     /// Follows what has come; the number of the first head that tells both lengths, counted from one.
     pub fn follow(&mut self, mut bytes: &[u8]) -> Option<usize> {
         while !bytes.is_empty() {
@@ -103,6 +108,8 @@
     pub heads: Heads,
     /// The number of the head that tells two lengths, if one does.
     pub clash: Rc<Cell<Option<usize>>>,
+    /// Part of a head is here and the rest is not.
+    pub part: Rc<Cell<bool>>,
 }
 
 impl AsyncRead for Followed {
@@ -116,6 +123,7 @@
         if let Some(number) = self.heads.follow(&buf.filled()[before..]) {
             self.clash.set(Some(number));
         }
+        self.part.set(self.heads.part());
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -24,6 +24,11 @@
     pub kept_sockets: usize,
     /// Of a body that is too large, what is still read, so that its client gets to see the answer.
     pub overlong_bytes: usize,
+    /// Connections from operators, and what they may send of a body that no call has.
+    pub admin_sockets: usize,
+    pub admin_body_bytes: usize,
+    /// How long such a connection may last.
+    pub admin_wait: Duration,
     /// Connections that the kernel may hold until they are accepted.
     pub backlog: u32,
     pub dial: Cell<Duration>,
@@ -61,7 +66,7 @@
     pub notes_per_s: u32,
 }
 
-/// Standard streams, the runtime's own, the listener, discovery, and some that are just being closed.
+/// Standard streams, the runtime's own, the listeners, discovery, operators, and some that are just being closed.
 const KEPT_BACK: usize = 64;
 
 impl Limits {
@@ -86,6 +91,10 @@
             surplus_sockets,
             // Clients open a third of the descriptors for commands: half of that may stand idle.
             kept_sockets: sockets / 6,
+            // Of those kept back. A call is answered in a millisecond: the others only hold their connection.
+            admin_sockets: 24,
+            admin_body_bytes: 64 << 10,
+            admin_wait: Duration::from_millis(4000),
             backlog: 1024,
             dial: Cell::new(dial),
             ready_wait: Duration::from_millis(20),
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 mod accept;
+mod admin;
 mod bodies;
 mod desk;
 mod intake;
@@ -59,6 +60,11 @@
     }
     let listener = accept::bind(start.listen, limits.backlog).map_err(|e| format!("listen: {e}"))?;
     let stop = Rc::new(stop::Stop::new());
+    if let Some(at) = start.admin {
+        let listener = accept::bind(at, limits.backlog).map_err(|e| format!("admin: {at}: {e}"))?;
+        let admin = admin::Admin { desk: desk.clone(), stop: stop.clone(), limits: limits.clone() };
+        spawn_local(Rc::new(admin).run(listener));
+    }
     let (moved, discovery) = watch::channel(start.discovery);
     let reload = reload::Reload::new(moved, start.file, desk.clone(), limits.clone())
         .map_err(|e| format!("SIGHUP: {e}"))?;
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -21,7 +21,8 @@
 }
 
 /// What only a restart can change: the node's own being, and what the process was given.
-const FIXED: [&str; 6] = ["name", "listen", "seed", "limits.cores", "limits.memory_mb", "limits.sockets"];
+const FIXED: [&str; 7] =
+    ["name", "listen", "admin", "seed", "limits.cores", "limits.memory_mb", "limits.sockets"];
 
 /// The paths of all that differs, down to what is no object.
 fn changes(old: Option<&Value>, new: Option<&Value>, path: &str, found: &mut Vec<String>) {
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -12,6 +12,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call.
+    pub admin: Option<SocketAddr>,
     pub seed: u64,
     pub terms: Terms,
     pub names: Names,
@@ -78,6 +80,15 @@
         let listen = address(&listen, &key)?;
         let (discovery, key) = told("ROUTER_DISCOVERY", "discovery")?;
         let discovery = address(&discovery, &key)?;
+        let admin = match variable("ROUTER_ADMIN").is_some() || at(&file, "admin").is_ok() {
+            true => Some(told("ROUTER_ADMIN", "admin")?),
+            false => None,
+        };
+        let admin = admin.map(|(text, key)| address(&text, &key).map(|at| (at, key))).transpose()?;
+        if let Some((_, key)) = admin.as_ref().filter(|(at, _)| *at == listen) {
+            return Err(format!("{key} is where clients connect: {listen}"));
+        }
+        let admin = admin.map(|(at, _)| at);
         let seed = text(&file, "seed")?;
         let seed = u64::from_str_radix(&seed, 16).map_err(|_| format!("seed is not hexadecimal: {seed}"))?;
         let settings = at(&file, "settings")?;
@@ -104,6 +115,6 @@
         // The pool lets go of connections before their backend does: only those it has count.
         terms.conn_idle = Span(limits.backend_idle.get().as_micros() as u64);
         let known = file.get("known").filter(|k| !k.is_null()).cloned();
-        Ok(Start { name, listen, discovery, seed, terms, names, limits, known, file })
+        Ok(Start { name, listen, discovery, admin, seed, terms, names, limits, known, file })
     }
 }
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -1,4 +1,5 @@
-//! A planned stop: the signal, and the time since.
+//! A planned stop: the signal, and the time since. And the operators' word to send clients away, which holds until
+//! they take it back.
 
 use crate::log::note;
 use std::io;
@@ -9,11 +10,12 @@
 
 pub struct Stop {
     since: watch::Sender<Option<Instant>>,
+    away: watch::Sender<Option<Instant>>,
 }
 
 impl Stop {
     pub fn new() -> Stop {
-        Stop { since: watch::Sender::new(None) }
+        Stop { since: watch::Sender::new(None), away: watch::Sender::new(None) }
     }
 
     /// Waits for the signal to stop.
@@ -33,6 +35,36 @@
         self.since.borrow().is_some()
     }
 
+    /// Sends clients away from now on, or takes them again. What has been said already keeps its time.
+    pub fn drain(&self, away: bool) {
+        self.away.send_if_modified(|since| {
+            let changed = since.is_some() != away;
+            *since = away.then(|| since.unwrap_or_else(Instant::now));
+            changed
+        });
+    }
+
+    pub fn drained(&self) -> bool {
+        self.away.borrow().is_some()
+    }
+
+    /// Whether clients are to go, one way or the other: their answers end their connections.
+    pub fn leaving(&self) -> bool {
+        self.stopping() || self.drained()
+    }
+
+    /// Over so long after the word to send clients away, if it holds then.
+    pub async fn away_for(&self, span: Duration) {
+        let mut away = self.away.subscribe();
+        loop {
+            let since = *away.borrow_and_update();
+            tokio::select! {
+                () = sleep_until(since.unwrap_or_else(Instant::now) + span), if since.is_some() => return,
+                changed = away.changed() => if changed.is_err() { std::future::pending().await },
+            }
+        }
+    }
+
     /// Over so long after the signal.
     pub async fn past(&self, span: Duration) {
         let mut since = self.since.subscribe();
--- /dev/null
+++ b/crates/node/tests/world/mod.rs
@@ -0,0 +1,311 @@
+//! A node as a process on loopback sockets, with toy backends and a toy discovery around it.
+
+#[path = "../../../../tests/help/mod.rs"]
+mod help;
+
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+use std::sync::{mpsc, Arc, Mutex};
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+/// A message as it was read: the first line, the headers in lower case, the body.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    pub first: String,
+    pub head: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+}
+
+/// The next message on a connection; none when it has ended.
+pub fn read(stream: &mut TcpStream) -> Option<Message> {
+    let (mut bytes, mut one) = (Vec::new(), [0]);
+    while !bytes.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut one).ok()?;
+        bytes.push(one[0]);
+    }
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let mut lines = text.lines();
+    let first = lines.next()?.to_owned();
+    let head = lines.filter_map(|l| l.split_once(": ").map(|(n, v)| (n.to_lowercase(), v.to_owned())));
+    let mut message = Message { first, head: head.collect(), body: Vec::new() };
+    let length = message.header("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+    message.body.resize(length, 0);
+    stream.read_exact(&mut message.body).ok()?;
+    Some(message)
+}
+
+/// A discovery that tells its watches what it is sent: its channel, its address, and how many watches came.
+pub fn discovery(own: &str) -> (mpsc::Sender<String>, SocketAddr, Arc<AtomicUsize>) {
+    let (list, lines) = mpsc::channel::<String>();
+    let watches = Arc::new(AtomicUsize::new(0));
+    let (discovery, told) = listener(own);
+    let watched = watches.clone();
+    spawn(move || {
+        for mut stream in discovery.incoming().flatten() {
+            if read(&mut stream).is_none() {
+                continue;
+            }
+            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n";
+            let _ = stream.write_all(head.as_bytes());
+            watched.fetch_add(1, SeqCst);
+            // It says nothing by itself, as a cut network does; an empty text ends the watch.
+            while let Ok(line) = lines.recv_timeout(Duration::from_secs(6)) {
+                let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+                if line.is_empty() || stream.write_all(chunk.as_bytes()).is_err() {
+                    break;
+                }
+            }
+        }
+    });
+    (list, told, watches)
+}
+
+/// What a backend does with a launch.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Act {
+    Finish,
+    Late,
+    Status(u16, &'static str),
+    Break,
+    HalfAnswer,
+    /// A good answer that is larger than the protocol has it.
+    Large,
+    /// An answer that tells of gigabytes, and goes on.
+    Huge,
+    /// Answers, and closes the connection without having said so.
+    FinishAndClose,
+}
+
+pub const DONE: &str =
+    "HTTP/1.1 200 OK\r\nX-Kept: yes\r\nKeep-Alive: timeout=9\r\nContent-Length: 9\r\n\r\nfrom \x01\x02\r\n";
+
+/// What every backend says to a probe.
+pub const LOAD: &str = r#"{"inflight":0,"queue":0,"util":0.1}"#;
+
+pub fn act(act: Act, stream: &mut TcpStream) -> bool {
+    if act == Act::Late {
+        sleep(Duration::from_millis(150));
+    }
+    let text = match act {
+        Act::Finish | Act::Late | Act::FinishAndClose => DONE.to_owned(),
+        Act::Status(code, more) => format!("HTTP/1.1 {code} Odd\r\n{more}Content-Length: 0\r\n\r\n"),
+        Act::Break => String::new(),
+        Act::Large => DONE.replace("Length: 9", "Length: 400009") + &"x".repeat(400_000),
+        Act::Huge => DONE.replace("Length: 9", "Length: 3221225472"),
+        Act::HalfAnswer => DONE[..DONE.len() - 4].to_owned(),
+    };
+    stream.write_all(text.as_bytes()).is_ok()
+        && !matches!(act, Act::Break | Act::HalfAnswer | Act::FinishAndClose)
+}
+
+/// All launches that any backend of a test has read, with the backend's number.
+pub type Launches = Arc<Mutex<Vec<(usize, Message)>>>;
+
+pub struct World {
+    pub node: Child,
+    pub listen: SocketAddr,
+    pub launches: Launches,
+    pub probes: Arc<Mutex<Vec<Message>>>,
+    /// Lines for whoever watches the list.
+    pub list: mpsc::Sender<String>,
+    pub watches: Arc<AtomicUsize>,
+    pub entries: Vec<Value>,
+    pub config: Value,
+    pub folder: PathBuf,
+    pub log: BufReader<ChildStderr>,
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        let _ = self.node.kill();
+        let _ = self.node.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Held while a process is started and while a port is let go: between fork and exec a child has all sockets of
+/// this one, and a port that is closed meanwhile is still taken when its node comes up.
+pub static STARTING: Mutex<()> = Mutex::new(());
+
+pub fn alone() -> std::sync::MutexGuard<'static, ()> {
+    STARTING.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+pub static WORLDS: AtomicUsize = AtomicUsize::new(0);
+
+/// A loopback address of its own for each node and its surroundings: ports that are free for a moment only
+/// must not be taken by another test.
+pub fn own_address() -> String {
+    let (number, process) = (WORLDS.fetch_add(1, SeqCst), std::process::id());
+    format!("127.{}.{}.{}", 16 + process / 250 % 200, 1 + process % 250, 1 + number % 250)
+}
+
+pub fn listener(address: &str) -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind((address, 0)).expect("a free port");
+    let at = listener.local_addr().expect("its address");
+    (listener, at)
+}
+
+pub fn settings() -> Value {
+    let mut settings = help::terms();
+    settings["balancers"] = 1.into();
+    settings["zones"] = json!(["here"]);
+    settings["flavors"] = json!(["small"]);
+    let names = ["read", "mark", "pay"];
+    let kinds = ["repeatable", "by_key", "once"];
+    let profile = |(name, kind): (&&str, &&str)| {
+        let mut profile = settings["profiles"][0].clone();
+        (profile["name"], profile["idempotency"]) = ((*name).into(), (*kind).into());
+        profile
+    };
+    let profiles: Vec<Value> = names.iter().zip(&kinds).map(profile).collect();
+    settings["profiles"] = profiles.into();
+    settings["limits"]["dialTimeout"] = 200_000_000.into();
+    settings["limits"]["connIdle"] = 30_000_000_000u64.into();
+    settings
+}
+
+pub fn start(config: &Value) -> (Child, PathBuf) {
+    let folder = std::env::temp_dir().join(format!("yarrowfront-test-{}", own_address()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let file = folder.join("config.json");
+    std::fs::write(&file, config.to_string()).expect("a file");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_yarrowfront"));
+    command.env_clear().env("ROUTER_CONFIG", &file).stderr(Stdio::piped()).stdout(Stdio::null());
+    let _alone = alone();
+    (command.spawn().expect("the node starts"), folder)
+}
+
+impl World {
+    /// So many backends, which act by the number of the launch over all of them.
+    pub fn new(backends: usize, acts: fn(usize) -> Act, change: fn(&mut Value)) -> World {
+        let (launches, own): (Launches, String) = (Arc::default(), own_address());
+        let probes: Arc<Mutex<Vec<Message>>> = Arc::default();
+        let mut entries = Vec::new();
+        for number in 0..backends {
+            let (listener, address) = listener(&own);
+            let (launches, probes) = (launches.clone(), probes.clone());
+            spawn(move || {
+                for mut stream in listener.incoming().flatten() {
+                    let (launches, probes) = (launches.clone(), probes.clone());
+                    spawn(move || {
+                        while let Some(message) = read(&mut stream) {
+                            if message.first.starts_with("GET /metrics/load ") {
+                                probes.lock().expect("probes").push(message);
+                                let head =
+                                    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", LOAD.len());
+                                let _ = stream.write_all((head + LOAD).as_bytes());
+                                continue;
+                            }
+                            let count = {
+                                let mut all = launches.lock().expect("launches");
+                                all.push((number, message));
+                                all.len() - 1
+                            };
+                            if !act(acts(count), &mut stream) {
+                                break;
+                            }
+                        }
+                    });
+                }
+            });
+            entries.push(json!({
+                "name": format!("b{number}"), "address": address.to_string(), "zone": "here", "type": "small",
+                "group": 1, "status": "ready", "weight": 1.0, "since_ms": 0,
+            }));
+        }
+        let (list, told, watches) = discovery(&own);
+        let listen = {
+            let _alone = alone();
+            listener(&own).1
+        };
+        let mut config = json!({
+            "name": "n1", "listen": listen.to_string(), "discovery": told.to_string(),
+            "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"index": 4, "snapshot": true, "endpoints": entries}, "settings": settings(),
+        });
+        change(&mut config);
+        let (mut node, folder) = start(&config);
+        let mut log = BufReader::new(node.stderr.take().expect("a log"));
+        let mut line = String::new();
+        log.read_line(&mut line).expect("a line");
+        assert!(line.contains("listening on"), "the node does not come up: {line}");
+        let world = World { node, listen, launches, probes, list, watches, entries, config, folder, log };
+        assert_eq!(world.ask("GET /up HTTP/1.1\r\nHost: n\r\n\r\n").status(), 200);
+        world
+    }
+
+    pub fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.listen).expect("the node accepts");
+        stream.set_read_timeout(Some(Duration::from_secs(10))).expect("a limit");
+        stream
+    }
+
+    pub fn ask(&self, text: &str) -> Message {
+        let mut stream = self.connect();
+        stream.write_all(text.as_bytes()).expect("written");
+        read(&mut stream).unwrap_or_default()
+    }
+
+    pub fn command(&self, profile: &str) -> Message {
+        self.ask(&command(profile, "a body", ""))
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.node.id().to_string();
+        let _alone = alone();
+        assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
+    }
+
+    /// Puts another text in the place of the configuration and says so; the line that the node writes then.
+    pub fn reload(&mut self, text: &str) -> String {
+        std::fs::write(self.folder.join("config.json"), text).expect("a file");
+        self.signal("-HUP");
+        let mut line = String::new();
+        while !line.starts_with("reload:") {
+            line.clear();
+            assert!(self.log.read_line(&mut line).expect("a log") > 0, "the node has ended");
+        }
+        line
+    }
+
+    pub fn launched(&self) -> usize {
+        self.launches.lock().expect("launches").len()
+    }
+}
+
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < Duration::from_secs(20), "waited in vain: {what}");
+        sleep(Duration::from_millis(10));
+    }
+}
+
+pub static COMMANDS: AtomicUsize = AtomicUsize::new(0);
+
+/// A command with an id of its own, as each has.
+pub fn command(profile: &str, body: &str, more: &str) -> String {
+    let id = COMMANDS.fetch_add(1, SeqCst);
+    format!(
+        "POST /api HTTP/1.1\r\nHost: o\r\nX-Correlation-Id: 9b1f{id}\r\nX-Service-Class: {profile}\r\n\
+         X-Time-Left-Ms: 450\r\nIdempotency-Key: 5c0f\r\n{more}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -1,4 +1,4 @@
-//! What a node has in its books of one backend: figures and sums, and no choice.
+//! What a node has in its books of one backend, and of one profile: figures and sums, and no choice.
 
 use crate::command::Launch;
 use crate::listed::Listed;
@@ -9,6 +9,8 @@
     pub(crate) listed: Listed,
     pub(crate) token: Option<Moment>,
     pub(crate) served: bool,
+    /// The operators have called it back, and nothing has gone there yet.
+    pub(crate) untried: bool,
     pub(crate) in_flight: u32,
     /// Expected work of our launches in flight, in standard microseconds.
     pub(crate) pending: f64,
@@ -54,3 +56,19 @@
         self.pending = if self.in_flight == 0 { 0.0 } else { (self.pending - launch.cost).max(0.0) };
     }
 }
+
+/// What is learned by profile: the usual work, and how far hints tell it.
+pub(crate) struct Row {
+    pub(crate) mean: f64,
+    pub(crate) answers: f64,
+    /// Mean and spread of the hints, and how work goes along with them.
+    pub(crate) hint: f64,
+    pub(crate) spread: f64,
+    pub(crate) along: f64,
+}
+
+impl Row {
+    pub(crate) fn new(mean: f64) -> Row {
+        Row { mean, answers: 0.0, hint: 0.0, spread: 0.0, along: 0.0 }
+    }
+}
--- a/src/command.rs
+++ b/src/command.rs
@@ -1,6 +1,6 @@
 //! A command in hand and what became of its launches.
 
-use crate::ids::{BackendId, CommandId, GroupId, ProfileId, ZoneId};
+use crate::ids::{BackendId, CommandId, GroupId, Hand, ProfileId, ZoneId};
 use crate::times::{Moment, Span};
 
 /// How a launch ended, as the caller saw it.
@@ -128,3 +128,11 @@
         self.count += 1;
     }
 }
+
+/// A command's place among the held.
+pub(crate) struct Held {
+    pub(crate) value: f64,
+    pub(crate) order: u64,
+    pub(crate) hand: Hand,
+    pub(crate) latest: Moment,
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,9 +1,9 @@
 //! All decisions of one node: distributed Join-Idle-Queue without token withdrawals (docs/design.md).
-//! `place`, `after` and `wait` say what becomes of a command; facts come in by `list`, `report` and `dropped`, and
+//! `place`, `after`, `wait` say what becomes of a command; facts come in by `list`, `report`, `dropped`, and
 //! what the node wants besides goes out by `errand`. Nothing here blocks, reads a clock or touches a socket.
 
-use crate::backend::Backend;
-use crate::command::{Command, Fate, Launch, Outcome, MOST_LAUNCHES};
+use crate::backend::{Backend, Row};
+use crate::command::{Command, Fate, Held, Launch, Outcome, MOST_LAUNCHES};
 use crate::ids::{BackendId, GroupId, Hand, KindId, ZoneId};
 pub use crate::listed::{ListKind, Listed, State};
 use crate::portion;
@@ -12,32 +12,9 @@
 use crate::times::{Moment, Span};
 use std::cmp::Reverse;
 use std::collections::hash_map::DefaultHasher;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::Hasher;
 
-/// What is learned by profile: the usual work, and how far hints tell it.
-struct Row {
-    mean: f64,
-    answers: f64,
-    /// Mean and spread of the hints, and how work goes along with them.
-    hint: f64,
-    spread: f64,
-    along: f64,
-}
-
-impl Row {
-    fn new(mean: f64) -> Row {
-        Row { mean, answers: 0.0, hint: 0.0, spread: 0.0, along: 0.0 }
-    }
-}
-
-struct Held {
-    value: f64,
-    order: u64,
-    hand: Hand,
-    latest: Moment,
-}
-
 #[derive(Default)]
 pub struct Balancer {
     terms: Terms,
@@ -45,6 +22,8 @@
     draws: u64,
     backends: Vec<Backend>,
     index: BTreeMap<BackendId, usize>,
+    /// By the operators' word, whatever the list says.
+    left_out: BTreeSet<BackendId>,
     /// By rank, from this node's own place on: the first `reach` are met.
     ready: Vec<usize>,
     reach: usize,
@@ -267,18 +246,33 @@
         for line in lines {
             self.line(now, line);
         }
+        self.arrange();
+    }
+
+    /// Leaves a backend out whatever the list says of it, or uses it again: then it is cold, all learned is
+    /// void. Its token comes before all others until it is used, as nothing else need tell of it soon.
+    pub fn maint(&mut self, now: Moment, backend: BackendId, out: bool) {
+        if out {
+            self.left_out.insert(backend);
+            self.errands.push(Errand::Close(backend));
+        } else if self.left_out.remove(&backend) {
+            if let Some(&i) = self.index.get(&backend) {
+                self.line(now, Listed { started: now, ..self.backends[i].listed });
+                self.backends[i].untried = true;
+            }
+        }
+        self.arrange();
+    }
+
+    fn arrange(&mut self) {
         self.ready.clear();
         for (i, backend) in self.backends.iter_mut().enumerate() {
-            if backend.listed.state == State::Ready {
+            if backend.listed.state == State::Ready && !self.left_out.contains(&backend.listed.backend) {
                 self.ready.push(i);
             } else {
                 backend.token = None;
             }
         }
-        self.arrange();
-    }
-
-    fn arrange(&mut self) {
         let backends = &self.backends;
         self.ready.sort_by_cached_key(|&i| portion::rank(backends[i].listed.mark));
         let start = portion::place(&self.terms, self.ready.len());
@@ -323,7 +317,10 @@
                 let (in_flight, pending) = (self.backends[i].in_flight, self.backends[i].pending);
                 self.backends[i] = Backend { in_flight, pending, ..fresh };
             }
-            Some(&i) => self.backends[i].listed = line,
+            // A start that the operators told of is not taken back by an older one.
+            Some(&i) => {
+                self.backends[i].listed = Listed { started: self.backends[i].listed.started, ..line };
+            }
         }
     }
 
@@ -666,7 +663,7 @@
         best
     }
 
-    /// Those of a pool where the command's key is likely to have been met lately: the first in an order that all
+    /// Those of a pool where the command's key is likely to have been met: the first in an order that all
     /// nodes share. A key that draws much has as many places as its traffic needs.
     fn keep_warm(&self, command: &Command, pool: &mut Vec<usize>, all: usize) {
         let alike = self.recent.iter().filter(|(_, _, key)| *key == command.key).count();
@@ -687,9 +684,11 @@
     fn oldest_token(&self, now: Moment, pool: &[usize]) -> Option<usize> {
         let held = pool.iter().copied().filter(|&i| {
             let b = &self.backends[i];
-            b.token.is_some_and(|at| now.since(at) < TOKEN_EXPIRY && (at >= b.report_at || b.others == 0.0))
+            let idle = |at| now.since(at) < TOKEN_EXPIRY && (at >= b.report_at || b.others == 0.0);
+            b.untried || b.token.is_some_and(idle)
         });
-        held.min_by_key(|&i| (self.step(&self.backends[i]), self.backends[i].token))
+        let at = |i: usize| &self.backends[i];
+        held.min_by_key(|&i| (!at(i).untried, self.step(at(i)), at(i).token))
     }
 
     fn connected(&self, now: Moment, i: usize) -> bool {
@@ -739,7 +738,7 @@
         (f64::from(self.terms.nodes) * part.min(1.0)).max(1.0)
     }
 
-    /// Our part of what goes to a backend: as one of like nodes that meet it, or by what the fleet has done for us
+    /// Our part of what goes to a backend: as one of like nodes that meet it, or by what has been done for us
     /// of late if that is more: most nodes carry little, some far more, and no fleet does more than it can.
     fn share(&self, now: Moment) -> f64 {
         (1.0 / self.sharers()).max(self.done * self.fade(now) * std::f64::consts::LN_2 / 4e6)
@@ -826,7 +825,7 @@
         let dialled = !self.connected(now, i);
         let b = &mut self.backends[i];
         b.open = if dialled { 0 } else { b.open - 1 };
-        b.token = None;
+        (b.token, b.untried) = (None, false);
         if b.in_flight == 0 {
             b.quiet_since = now;
         }
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -615,3 +615,40 @@
         assert_ne!(bench.place(&mut next), Say::Launch(BackendId(2)), "it drains");
     }
 }
+
+/// A backend left out by the operators gets nothing whatever the list says. Called back it is cold and unknown, yet the
+/// next command tries it, also where others were seen idle and are known to be quick; and nothing asks there meanwhile.
+#[test]
+fn left_out_by_operators() {
+    for seed in 0..20 {
+        let mut bench = Bench::new(seed);
+        bench.list_groups(&[(1, 0), (2, 0)]);
+        for _ in 0..10 {
+            let mut command = bench.command(0);
+            assert!(matches!(bench.place(&mut command), Say::Launch(_)));
+            bench.finish(&mut command, 20);
+        }
+        for _ in 0..2 {
+            bench.node.maint(bench.now, BackendId(1), true);
+        }
+        assert!(bench.errands().contains(&Errand::Close(BackendId(1))), "its idle connections go");
+        for (what, state, started) in
+            [("ready", State::Ready, 0), ("gone", State::Gone, 0), ("anew", State::Ready, 9)]
+        {
+            bench.line(ListKind::Changes, (1, state, started));
+            for _ in 0..6 {
+                let mut command = bench.command(0);
+                assert_eq!(bench.place(&mut command), Say::Launch(BackendId(2)), "{what}");
+                bench.finish(&mut command, 20);
+            }
+        }
+        bench.node.maint(bench.now, BackendId(1), false);
+        bench.line(ListKind::Changes, (1, State::Ready, 9));
+        bench.later(3000);
+        let [mut first, mut second, mut third] = [(); 3].map(|()| bench.command(0));
+        assert_eq!(bench.place(&mut first), Say::Launch(BackendId(1)), "seed {seed}: tried at once");
+        // It is cold since the call, whatever the list says of its start: one at a time.
+        assert_eq!(bench.place(&mut second), Say::Launch(BackendId(2)), "seed {seed}");
+        assert_ne!(bench.place(&mut third), Say::Launch(BackendId(1)), "seed {seed}: it is cold");
+    }
+}
