Hand the node over to a second process: its listening socket and what it knows

Design: the new process asks by a Unix socket in $TMPDIR; the old one passes the listening socket itself (SCM_RIGHTS by rustix, through libc, no unsafe here), backends left out, drain and the list with its index. When the new one can take connections it says so, the old one stops accepting, names the ids of its commands in hand and ends each connection with its next answer. The link stays: an operators' call to either holds in both before its yes, and each tells the other what it holds of descriptors and bytes. If the new one ends, the old one takes connections again. Not taken: SO_REUSEPORT alone. Two queues; what stands in the old one's when it closes is reset, and the kernel deals half of the connections there until then. It is set all the same where $TMPDIR is, for a peer that does not answer or where nobody comes to a Unix socket. Not taken either: files in $TMPDIR, which cannot say that an operators' call holds on both sides, nor tell at once that the other process has died.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -123,13 +123,13 @@
 
     /// Whether there are more connections than are to be kept.
     pub fn crowded(&self, limits: &Limits) -> bool {
-        self.guests.known.get() > limits.kept_sockets
-            || self.guests.here.borrow().len() > limits.client_sockets
+        self.guests.known.get() > limits.kept_sockets()
+            || self.guests.here.borrow().len() > limits.client_sockets()
     }
 
     /// Whether there are more commands in hand than there is room for.
     pub fn full(&self, limits: &Limits) -> bool {
-        self.guests.commands.get() > limits.client_sockets
+        self.guests.commands.get() > limits.client_sockets()
     }
 }
 
@@ -156,27 +156,32 @@
     }
 }
 
-pub fn bind(address: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
+/// Listens there; beside a process of the same user that does, if both share it.
+pub fn bind(address: SocketAddr, backlog: u32, shared: bool) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     // A node that starts again finds its own old connections still winding down.
     socket.set_reuseaddr(true)?;
+    socket.set_reuseport(shared)?;
     socket.bind(address)?;
     socket.listen(backlog)
 }
 
 /// Accepts until the node stops and all that was taken is answered.
-pub async fn accept(listener: TcpListener, node: Rc<Node>) {
+pub async fn accept(listener: Rc<TcpListener>, node: Rc<Node>) {
     let guests = Rc::new(Guests::default());
-    let most = node.limits.client_sockets + node.limits.surplus_sockets;
     tokio::task::spawn_local(send_away(guests.clone(), node.clone()));
     let mut over = pin!(node.stop.past(node.limits.accept_on));
     loop {
         let held = guests.here.borrow().len();
+        let most = node.limits.client_sockets() + node.limits.surplus_sockets;
         if held >= most {
             close_idle(&guests.here.borrow(), node.limits.settle);
         }
         let accepted = tokio::select! {
-            accepted = listener.accept(), if held < most => accepted,
+            // A new process takes them: what waits in the kernel's queue is in its queue too.
+            () = node.stop.succession(false), if node.stop.succeeded() => continue,
+            () = node.stop.succession(true), if !node.stop.succeeded() => continue,
+            accepted = listener.accept(), if held < most && !node.stop.succeeded() => accepted,
             // Until one goes the kernel keeps the others. Silent ones must not stop that for ever.
             () = guests.left.notified(), if held >= most => continue,
             () = sleep(node.limits.settle), if held >= most => continue,
@@ -196,6 +201,7 @@
         let accepted = tokio::select! {
             accepted = timeout(node.limits.last_look, listener.accept()) => accepted,
             () = &mut idle => break,
+            () = node.stop.succession(true) => break,
         };
         match accepted {
             Ok(Ok((stream, _))) => welcome(stream, &guests, &node),
@@ -239,15 +245,16 @@
         note!("accept: {error}");
     }
     let limits = &node.limits;
-    if guests.here.borrow().len() >= limits.client_sockets {
+    if guests.here.borrow().len() >= limits.client_sockets() {
         // An idle one makes room; the surplus sockets are there for the time that it takes to go.
         close_idle(&guests.here.borrow(), limits.settle);
-    } else if guests.known.get() > limits.kept_sockets {
+    } else if guests.known.get() > limits.kept_sockets() {
         // So many asked once and stayed: those that have been idle for a while go, one for each that comes.
         close_idle(&guests.here.borrow(), limits.first_wait);
     }
     let guest = Rc::new(Guest::new(guests.clone()));
     let key = guests.here.borrow_mut().insert(guest.clone());
+    limits.sockets.clients.set(guests.here.borrow().len());
     let (guests, node) = (guests.clone(), node.clone());
     tokio::task::spawn_local(async move {
         let mut builder = http1::Builder::new();
@@ -255,7 +262,7 @@
         builder.max_buf_size(limits.head_bytes);
         let followed =
             Followed { stream, heads: Heads::new(), clash: guest.clash.clone(), part: guest.part.clone() };
-        let service = TowerToHyperService::new(Intake { node, guest: guest.clone() });
+        let service = TowerToHyperService::new(Intake { node: node.clone(), guest: guest.clone() });
         let mut connection = pin!(builder.serve_connection(TokioIo::new(followed), service));
         let mut closing = false;
         loop {
@@ -283,6 +290,7 @@
             }
         }
         guests.here.borrow_mut().remove(key);
+        node.limits.sockets.clients.set(guests.here.borrow().len());
         guests.left.notify_one();
     });
 }
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -2,6 +2,7 @@
 //! now so. A call that is answered with yes has taken effect before.
 
 use crate::desk::Desk;
+use crate::handover::Peer;
 use crate::intake::{plain, Reply};
 use crate::limits::Limits;
 use crate::log::note;
@@ -14,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
 use percent_encoding::percent_decode_str;
+use serde::{Deserialize, Serialize};
 use slab::Slab;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
@@ -27,7 +29,8 @@
 use tower::Service;
 
 /// What a call asks for.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Call {
     Ready,
     Maint {
@@ -69,6 +72,23 @@
     }
 }
 
+impl Call {
+    /// Does what is asked, and says what is now so; nothing of a backend that was never listed.
+    pub fn carry_out(&self, desk: &Desk, stop: &Stop) -> Option<String> {
+        match self {
+            Call::Ready => None,
+            Call::Maint { name, out } => {
+                desk.maint(desk.known(name)?, *out);
+                Some(format!("{name} {}", if *out { "is left out" } else { "is used" }))
+            }
+            Call::Drain(away) => {
+                stop.drain(*away);
+                Some(if *away { "clients are sent away" } else { "clients are taken" }.to_owned())
+            }
+        }
+    }
+}
+
 /// A connection from an operator.
 struct Caller {
     came: Instant,
@@ -82,6 +102,7 @@
     pub desk: Rc<Desk>,
     pub stop: Rc<Stop>,
     pub limits: Rc<Limits>,
+    pub peer: Rc<Peer>,
 }
 
 /// The service that one connection sees.
@@ -116,7 +137,7 @@
         }
         caller.heard.set(true);
         match call(&head.method, head.uri.path()) {
-            Ok(call) => self.carry_out(call),
+            Ok(call) => self.carry_out(call).await,
             Err(Refusal::NoSuchPath) => plain(StatusCode::NOT_FOUND, "no such call"),
             Err(Refusal::Method(right)) => {
                 let mut reply = plain(StatusCode::METHOD_NOT_ALLOWED, &format!("this takes {right}"));
@@ -126,30 +147,38 @@
         }
     }
 
-    fn carry_out(&self, call: Call) -> Reply {
-        match call {
-            Call::Ready if self.stop.stopping() => plain(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
-            Call::Ready if !self.desk.told() => {
+    async fn carry_out(&self, call: Call) -> Reply {
+        if call == Call::Ready {
+            return self.ready();
+        }
+        match call.carry_out(&self.desk, &self.stop) {
+            Some(now) => {
+                // It holds in both processes, where there are two, before the yes.
+                self.peer.tell(&call).await;
+                note!("admin: {now}");
+                plain(StatusCode::OK, &now)
+            }
+            None => {
+                note!("admin: {call:?}: never listed");
+                plain(StatusCode::NOT_FOUND, "no backend of this name was ever listed")
+            }
+        }
+    }
+
+    fn ready(&self) -> Reply {
+        match () {
+            () if self.stop.stopping() => plain(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
+            () if !self.desk.told() => {
                 plain(StatusCode::SERVICE_UNAVAILABLE, "not ready: no list of backends yet")
             }
-            Call::Ready if self.stop.drained() => plain(StatusCode::OK, "ready; clients are sent away"),
-            Call::Ready => plain(StatusCode::OK, "ready"),
-            Call::Maint { name, out } => {
-                let Some(backend) = self.desk.known(&name) else {
-                    note!("admin: {name:?} was never listed");
-                    return plain(StatusCode::NOT_FOUND, "no backend of this name was ever listed");
-                };
-                self.desk.maint(backend, out);
-                let now = if out { "is left out" } else { "is used" };
-                note!("admin: {name} {now}");
-                plain(StatusCode::OK, &format!("{name} {now}"))
+            () if !self.peer.ready() => {
+                plain(StatusCode::SERVICE_UNAVAILABLE, "not ready: the old process has the connections")
             }
-            Call::Drain(away) => {
-                self.stop.drain(away);
-                let now = if away { "clients are sent away" } else { "clients are taken" };
-                note!("admin: {now}");
-                plain(StatusCode::OK, now)
+            () if self.stop.drained() => plain(StatusCode::OK, "ready; clients are sent away"),
+            () if self.stop.succeeded() => {
+                plain(StatusCode::OK, "ready; a new process takes the connections")
             }
+            () => plain(StatusCode::OK, "ready"),
         }
     }
 
--- a/crates/node/src/bodies.rs
+++ b/crates/node/src/bodies.rs
@@ -20,6 +20,8 @@
 pub struct Room {
     most: usize,
     held: Arc<AtomicUsize>,
+    /// What the other process of this node holds.
+    others: Arc<AtomicUsize>,
 }
 
 /// One body's bytes and its part of the room.
@@ -42,11 +44,19 @@
 
 impl Room {
     pub fn new(most: usize) -> Room {
-        Room { most, held: Arc::default() }
+        Room { most, held: Arc::default(), others: Arc::default() }
     }
 
     fn free(&self) -> usize {
-        self.most.saturating_sub(self.held.load(Relaxed))
+        self.most.saturating_sub(self.held.load(Relaxed) + self.others.load(Relaxed))
+    }
+
+    pub fn held(&self) -> usize {
+        self.held.load(Relaxed)
+    }
+
+    pub fn others_hold(&self, bytes: usize) {
+        self.others.store(bytes, Relaxed);
     }
 
     /// A body of so many bytes at most. One that is too large is read on up to the second figure all the same,
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -4,9 +4,10 @@
 use crate::launch::Done;
 use crate::names::Names;
 use hyper::header::HeaderValue;
+use serde_json::{json, Value};
 use slab::Slab;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -73,6 +74,10 @@
     /// The module's own time to be asked has moved.
     moved: Notify,
     told: Cell<bool>,
+    /// The list as discovery tells it, for a process that comes after this one.
+    entries: RefCell<(u64, BTreeMap<String, Value>)>,
+    /// Ids of commands that another process of this node has in hand.
+    elsewhere: RefCell<HashSet<String>>,
 }
 
 impl Desk {
@@ -85,9 +90,10 @@
     ) -> Desk {
         let (hands, ids) = (Slab::new(), HashMap::new());
         let (open, addresses) = (HashSet::new(), Vec::new());
+        let (entries, elsewhere) = Default::default();
         let names = Rc::new(names);
         let inner = RefCell::new(Inner { module, names, hands, open, ids, addresses, commands: 0 });
-        Desk { clock, tick, inner, errands, moved: Notify::new(), told: Cell::new(false) }
+        Desk { clock, tick, inner, errands, moved: Notify::new(), told: Cell::new(false), entries, elsewhere }
     }
 
     /// One call of the module, and the errands that came of it.
@@ -129,6 +135,9 @@
 
     /// Takes a command in hand; none if one that is called so is in hand: it would run twice.
     pub fn take(&self, mut command: Command, id: HeaderValue) -> Option<(Hand, Rc<Notify>)> {
+        if id.to_str().is_ok_and(|id| self.elsewhere.borrow().contains(id)) {
+            return None;
+        }
         let inner = &mut *self.inner.borrow_mut();
         if !inner.open.insert(id.clone()) {
             return None;
@@ -257,6 +266,46 @@
         self.ask(|inner, now| inner.module.maint(now, backend, out));
     }
 
+    /// The names of all that are left out by the operators' word.
+    pub fn left_out(&self) -> Vec<String> {
+        let inner = self.inner.borrow();
+        let out = |(_, id): &(&String, &BackendId)| inner.module.is_left_out(**id);
+        inner.ids.iter().filter(out).map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Keeps a message of discovery's for a process that comes after this one.
+    pub fn keep(&self, index: u64, whole: bool, entries: &[Value]) {
+        let (at, kept) = &mut *self.entries.borrow_mut();
+        *at = index;
+        if whole {
+            kept.clear();
+        }
+        for entry in entries {
+            let text = |key| entry.get(key).and_then(Value::as_str);
+            match (text("name"), text("status")) {
+                (Some(name), Some("ready" | "draining")) => drop(kept.insert(name.to_owned(), entry.clone())),
+                (Some(name), _) => drop(kept.remove(name)),
+                _ => {}
+            }
+        }
+    }
+
+    /// The list as it stands, in discovery's form.
+    pub fn list_now(&self) -> Value {
+        let (index, kept) = &*self.entries.borrow();
+        json!({"index": index, "snapshot": true, "endpoints": kept.values().collect::<Vec<_>>()})
+    }
+
+    pub fn ids_in_hand(&self) -> Vec<String> {
+        let inner = self.inner.borrow();
+        inner.open.iter().filter_map(|id| id.to_str().ok()).map(str::to_owned).collect()
+    }
+
+    /// Commands with these ids are in hand elsewhere: here they would run twice.
+    pub fn elsewhere(&self, ids: Vec<String>) {
+        *self.elsewhere.borrow_mut() = ids.into_iter().collect();
+    }
+
     pub fn address(&self, backend: BackendId) -> Option<SocketAddr> {
         self.inner.borrow().addresses.get(backend.0 as usize).copied().flatten()
     }
--- /dev/null
+++ b/crates/node/src/handover.rs
@@ -0,0 +1,385 @@
+//! The process before this one and the one after it, which are one node while both run. They find each other by a
+//! Unix socket in `$TMPDIR`: the new one is given the listening socket itself, so that no connection waits in a
+//! queue that nobody reads, and all that must outlive a process. Then each tells the other what operators say and
+//! how much of the common budgets it holds, until one of them ends.
+
+use crate::admin::Call;
+use crate::bodies::Room;
+use crate::desk::Desk;
+use crate::limits::Limits;
+use crate::log::note;
+use crate::stop::Stop;
+use rustix::net::{
+    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
+    SendAncillaryMessage, SendFlags,
+};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::io::{self, BufRead, BufReader, IoSlice, IoSliceMut, Read, Write};
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
+use std::os::unix::net::UnixStream as StdUnixStream;
+use std::path::{Path, PathBuf};
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, UnixListener, UnixStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
+use tokio::time::{interval, sleep, timeout};
+
+/// Of the words below. Another version is as nobody there.
+const VERSION: u32 = 1;
+
+/// What one process says to the other: one JSON object a line.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Word {
+    Hello {
+        version: u32,
+    },
+    /// There is no room for another process.
+    No {
+        why: String,
+    },
+    State(State),
+    /// The new process can take connections, and the old one takes none from here on.
+    Ready,
+    Left {
+        /// What clients call the commands in hand.
+        ids: Vec<String>,
+    },
+    Call(Call),
+    Done,
+    Held {
+        clients: usize,
+        backends: usize,
+        bytes: usize,
+    },
+}
+
+/// What must outlive a process.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub struct State {
+    pub left_out: Vec<String>,
+    pub drained: bool,
+    /// In discovery's form.
+    pub list: Value,
+}
+
+/// What a process that runs already has given this one.
+pub struct Heritage {
+    pub state: State,
+    pub listener: std::net::TcpListener,
+    stream: StdUnixStream,
+}
+
+/// Where the processes of the node that listens there find each other; nowhere without a folder of their own.
+pub fn meeting(folder: Option<String>, listen: SocketAddr) -> Option<PathBuf> {
+    folder.filter(|folder| !folder.is_empty()).map(|folder| Path::new(&folder).join(format!("{listen}.sock")))
+}
+
+/// Asks a process that runs already for what it has. None where nobody is, or nobody who answers as one should;
+/// an error where there is no room for this one.
+pub fn inherit(path: &Path, limits: &Limits) -> Result<Option<Heritage>, String> {
+    let Ok(stream) = StdUnixStream::connect(path) else { return Ok(None) };
+    match talk(&stream, limits) {
+        Ok(Ok((state, listener))) => Ok(Some(Heritage { state, listener, stream })),
+        Ok(Err(why)) => Err(why),
+        Err(error) => {
+            note!("handover: no use in the process at {}: {error}; starting as from nothing", path.display());
+            Ok(None)
+        }
+    }
+}
+
+type Given = Result<(State, std::net::TcpListener), String>;
+
+fn talk(stream: &StdUnixStream, limits: &Limits) -> io::Result<Given> {
+    stream.set_read_timeout(Some(limits.peer_wait))?;
+    stream.set_write_timeout(Some(limits.peer_wait))?;
+    (&*stream).write_all(&line(&Word::Hello { version: VERSION })?)?;
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+    let mut beside = RecvAncillaryBuffer::new(&mut space);
+    let mut first = [0];
+    recvmsg(stream, &mut [IoSliceMut::new(&mut first)], &mut beside, RecvFlags::CMSG_CLOEXEC)?;
+    let mut given: Option<OwnedFd> = None;
+    for message in beside.drain() {
+        if let RecvAncillaryMessage::ScmRights(sockets) = message {
+            given = sockets.last();
+        }
+    }
+    // Byte by byte: what follows the line is for whoever reads on.
+    let mut text = Vec::new();
+    let mut reader = BufReader::with_capacity(1, stream.take(limits.line_bytes as u64));
+    reader.read_until(b'\n', &mut text)?;
+    match (serde_json::from_slice(&text)?, given) {
+        (Word::State(state), Some(socket)) => Ok(Ok((state, std::net::TcpListener::from(socket)))),
+        (Word::No { why }, _) => Ok(Err(why)),
+        _ => Err(io::Error::other("it has given no socket")),
+    }
+}
+
+fn line(word: &Word) -> io::Result<Vec<u8>> {
+    let mut line = serde_json::to_vec(word)?;
+    line.push(b'\n');
+    Ok(line)
+}
+
+/// The other process, for as long as it is there.
+struct Link {
+    out: mpsc::UnboundedSender<Word>,
+    /// What waits for the other's word that it is done, in order.
+    waiting: RefCell<VecDeque<oneshot::Sender<()>>>,
+}
+
+impl Link {
+    /// Says something that the other answers, and waits for that.
+    async fn ask(&self, word: Word, wait: Duration) -> bool {
+        let (done, answer) = oneshot::channel();
+        self.waiting.borrow_mut().push_back(done);
+        self.out.send(word).is_ok() && matches!(timeout(wait, answer).await, Ok(Ok(())))
+    }
+
+    fn answered(&self) {
+        if let Some(done) = self.waiting.borrow_mut().pop_front() {
+            let _ = done.send(());
+        }
+    }
+}
+
+/// Which of two processes this is.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Side {
+    Old,
+    New,
+}
+
+pub struct Peer {
+    pub desk: Rc<Desk>,
+    pub stop: Rc<Stop>,
+    pub limits: Rc<Limits>,
+    pub room: Room,
+    path: Option<PathBuf>,
+    /// Weak, as the kernel's queue must close with the one who reads it.
+    listener: Weak<TcpListener>,
+    link: RefCell<Option<Rc<Link>>>,
+    /// What waits at the door; another door takes its place.
+    door: Cell<Option<AbortHandle>>,
+    /// Connections are taken, or are about to be.
+    ready: Cell<bool>,
+}
+
+impl Peer {
+    pub fn new(
+        (desk, stop, limits, room): (Rc<Desk>, Rc<Stop>, Rc<Limits>, Room),
+        path: Option<PathBuf>,
+        listener: &Rc<TcpListener>,
+    ) -> Rc<Peer> {
+        let (link, door, ready) = (RefCell::default(), Cell::default(), Cell::new(false));
+        let listener = Rc::downgrade(listener);
+        Rc::new(Peer { desk, stop, limits, room, path, listener, link, door, ready })
+    }
+
+    pub fn ready(&self) -> bool {
+        self.ready.get()
+    }
+
+    /// Has the old process, if there is one, take no more connections; then this one is ready, and may be asked itself.
+    pub async fn take_over(self: &Rc<Peer>, old: Option<StdUnixStream>) {
+        if let Some(stream) = old {
+            let stream = stream.set_nonblocking(true).and_then(|()| UnixStream::from_std(stream));
+            match stream {
+                Ok(stream) => {
+                    let (read, write) = stream.into_split();
+                    let link = self.join(write);
+                    tokio::task::spawn_local(self.clone().follow(read, link.clone(), Side::New));
+                    if !link.ask(Word::Ready, self.limits.peer_wait).await {
+                        note!("handover: the old process has not said that it takes no more connections");
+                    }
+                }
+                Err(error) => note!("handover: {error}"),
+            }
+        }
+        self.ready.set(true);
+        self.open_door();
+    }
+
+    /// Carries out on the other side too what operators have said here, if there is one.
+    pub async fn tell(&self, call: &Call) {
+        let link = self.link.borrow().clone();
+        if let Some(link) = link {
+            if !link.ask(Word::Call(call.clone()), self.limits.peer_wait / 2).await {
+                note!("handover: the other process has not said that it does so too");
+            }
+        }
+    }
+
+    /// Listens for a process that comes after this one. A file of one that is gone is replaced whole.
+    fn open_door(self: &Rc<Peer>) {
+        let Some(path) = &self.path else { return };
+        let new = path.with_extension("new");
+        let _ = std::fs::remove_file(&new);
+        let bound = UnixListener::bind(&new).and_then(|door| std::fs::rename(&new, path).map(|()| door));
+        match bound {
+            Ok(door) => {
+                let task = tokio::task::spawn_local(self.clone().welcome(door));
+                if let Some(before) = self.door.replace(Some(task.abort_handle())) {
+                    before.abort();
+                }
+            }
+            Err(error) => note!("handover: {}: {error}; none is possible from here", path.display()),
+        }
+    }
+
+    async fn welcome(self: Rc<Peer>, door: UnixListener) {
+        loop {
+            match door.accept().await {
+                Ok((stream, _)) => drop(tokio::task::spawn_local(self.clone().greet(stream))),
+                Err(error) => {
+                    note!("handover: {error}");
+                    sleep(self.limits.accept_pause).await;
+                }
+            }
+        }
+    }
+
+    /// Somebody is at the door: a new process, if it says so in time.
+    async fn greet(self: Rc<Peer>, stream: UnixStream) {
+        let (mut read, mut write) = stream.into_split();
+        let hello = timeout(self.limits.peer_wait, self.next(&mut read)).await;
+        let Ok(Some(Word::Hello { version: VERSION })) = hello else {
+            note!("handover: somebody came who is no new process of this version");
+            return;
+        };
+        let listener = self.listener.upgrade().filter(|_| !self.stop.stopping());
+        let free = self.link.borrow().is_none();
+        let Some(listener) = listener.filter(|_| free) else {
+            let why = if free { "this node is stopping" } else { "two processes of this node run already" };
+            let no = line(&Word::No { why: why.to_owned() }).unwrap_or_default();
+            let _ = write.write_all(&[b"\n", &no[..]].concat()).await;
+            return;
+        };
+        let link = self.join_after(&mut write, &listener).await;
+        match link {
+            Ok(()) => {
+                note!("handover: a new process has what this one knows");
+                let link = self.join(write);
+                self.follow(read, link, Side::Old).await;
+            }
+            Err(error) => note!("handover: {error}"),
+        }
+    }
+
+    async fn join_after(&self, write: &mut OwnedWriteHalf, listener: &TcpListener) -> io::Result<()> {
+        let stream: &UnixStream = write.as_ref();
+        stream.writable().await?;
+        stream.try_io(Interest::WRITABLE, || pass(stream, listener.as_fd()))?;
+        let left_out = self.desk.left_out();
+        let state = State { left_out, drained: self.stop.drained(), list: self.desk.list_now() };
+        let text = line(&Word::State(state))?;
+        timeout(self.limits.peer_wait, write.write_all(&text)).await?
+    }
+
+    fn join(self: &Rc<Peer>, mut write: OwnedWriteHalf) -> Rc<Link> {
+        let (out, mut words) = mpsc::unbounded_channel();
+        let link = Rc::new(Link { out, waiting: RefCell::default() });
+        *self.link.borrow_mut() = Some(link.clone());
+        tokio::task::spawn_local(async move {
+            while let Some(word) = words.recv().await {
+                let Ok(text) = line(&word) else { break };
+                if write.write_all(&text).await.is_err() {
+                    break;
+                }
+            }
+        });
+        link
+    }
+
+    async fn next(&self, read: &mut OwnedReadHalf) -> Option<Word> {
+        let mut text = Vec::new();
+        // Byte by byte here too, as each word is asked for by itself; there are few of them.
+        let mut reader = tokio::io::BufReader::with_capacity(1, read.take(self.limits.line_bytes as u64));
+        reader.read_until(b'\n', &mut text).await.ok()?;
+        serde_json::from_slice(&text).ok()
+    }
+
+    /// Goes along with the other process until one of the two ends.
+    async fn follow(self: Rc<Peer>, mut read: OwnedReadHalf, link: Rc<Link>, side: Side) {
+        let (heard, mut words) = mpsc::unbounded_channel();
+        let reader = self.clone();
+        let reading = tokio::task::spawn_local(async move {
+            while let Some(word) = reader.next(&mut read).await {
+                if heard.send(word).is_err() {
+                    break;
+                }
+            }
+        });
+        let mut beat = interval(self.limits.peer_beat);
+        loop {
+            let word = tokio::select! {
+                word = words.recv() => word,
+                _ = beat.tick() => {
+                    let sockets = &self.limits.sockets;
+                    let (clients, backends) = (sockets.clients.get(), sockets.backends.get());
+                    let _ = link.out.send(Word::Held { clients, backends, bytes: self.room.held() });
+                    continue;
+                }
+            };
+            match word {
+                None => break,
+                Some(Word::Ready) if side == Side::Old => {
+                    note!("handover: the new process takes the connections from here on");
+                    self.stop.succeeded_by(true);
+                    let _ = link.out.send(Word::Left { ids: self.desk.ids_in_hand() });
+                }
+                Some(Word::Left { ids }) => {
+                    self.desk.elsewhere(ids);
+                    link.answered();
+                }
+                Some(Word::Call(call)) => {
+                    call.carry_out(&self.desk, &self.stop);
+                    let _ = link.out.send(Word::Done);
+                }
+                Some(Word::Done) => link.answered(),
+                Some(Word::Held { clients, backends, bytes }) => {
+                    self.limits.sockets.other_clients.set(clients);
+                    self.limits.sockets.other_backends.set(backends);
+                    self.room.others_hold(bytes);
+                }
+                Some(other) => note!("handover: left out: {other:?}"),
+            }
+        }
+        reading.abort();
+        *self.link.borrow_mut() = None;
+        self.limits.sockets.other_clients.set(0);
+        self.limits.sockets.other_backends.set(0);
+        self.room.others_hold(0);
+        self.desk.elsewhere(Vec::new());
+        if side == Side::Old && !self.stop.stopping() {
+            note!("handover: the new process is gone; this one goes on");
+            self.stop.succeeded_by(false);
+            self.open_door();
+        }
+    }
+}
+
+/// Passes a socket on, beside one byte.
+fn pass(stream: &UnixStream, socket: BorrowedFd<'_>) -> io::Result<()> {
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+    let mut beside = SendAncillaryBuffer::new(&mut space);
+    let sockets = [socket];
+    beside.push(SendAncillaryMessage::ScmRights(&sockets));
+    sendmsg(stream, &[IoSlice::new(b"\n")], &mut beside, SendFlags::NOSIGNAL)?;
+    Ok(())
+}
+
+impl Heritage {
+    pub fn into_parts(self) -> (State, std::net::TcpListener, StdUnixStream) {
+        (self.state, self.listener, self.stream)
+    }
+}
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -2,8 +2,19 @@
 //! say of them follows when they change; descriptors and memory are the process's own and stay.
 
 use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
+/// Connections that are open now, from clients and to backends: here, and in the other process of this node while
+/// there is one.
+#[derive(Default)]
+pub struct Sockets {
+    pub clients: Cell<usize>,
+    pub backends: Rc<Cell<usize>>,
+    pub other_clients: Cell<usize>,
+    pub other_backends: Cell<usize>,
+}
+
 pub struct Limits {
     /// The head of a command or an answer.
     pub head_bytes: usize,
@@ -17,16 +28,20 @@
     pub line_bytes: usize,
     /// Connections from clients (and commands in hand), those to backends (launches and probes), and those of
     /// clients past the first figure, until idle ones have made room.
-    pub client_sockets: usize,
-    pub backend_sockets: usize,
+    client_sockets: usize,
+    backend_sockets: usize,
     pub surplus_sockets: usize,
+    pub sockets: Sockets,
     /// Connections from clients that are kept for their next command; past that an answer ends its connection.
-    pub kept_sockets: usize,
+    kept_sockets: usize,
     /// Of a body that is too large, what is still read, so that its client gets to see the answer.
     pub overlong_bytes: usize,
     /// Connections from operators, and what they may send of a body that no call has.
     pub admin_sockets: usize,
     pub admin_body_bytes: usize,
+    /// How long the other process of this node may take to answer, and between two words of what is held.
+    pub peer_wait: Duration,
+    pub peer_beat: Duration,
     /// How long such a connection may last.
     pub admin_wait: Duration,
     /// Connections that the kernel may hold until they are accepted.
@@ -89,11 +104,15 @@
             client_sockets,
             backend_sockets: (room * 2 / 5).max(4),
             surplus_sockets,
+            sockets: Sockets::default(),
             // Clients open a third of the descriptors for commands: half of that may stand idle.
             kept_sockets: sockets / 6,
             // Of those kept back. A call is answered in a millisecond: the others only hold their connection.
             admin_sockets: 24,
             admin_body_bytes: 64 << 10,
+            // An operator's call is owed its answer in a second, and half of that is for the other process.
+            peer_wait: Duration::from_millis(600),
+            peer_beat: Duration::from_millis(50),
             admin_wait: Duration::from_millis(4000),
             backlog: 1024,
             dial: Cell::new(dial),
@@ -121,6 +140,24 @@
         }
     }
 
+    /// What this process may have of a budget, with what the other one holds: a quarter at the least, as that one
+    /// takes nothing more and lets go.
+    fn left(most: usize, other: &Cell<usize>) -> usize {
+        most.saturating_sub(other.get()).max(most / 4)
+    }
+
+    pub fn client_sockets(&self) -> usize {
+        Limits::left(self.client_sockets, &self.sockets.other_clients)
+    }
+
+    pub fn backend_sockets(&self) -> usize {
+        Limits::left(self.backend_sockets, &self.sockets.other_backends)
+    }
+
+    pub fn kept_sockets(&self) -> usize {
+        Limits::left(self.kept_sockets, &self.sockets.other_clients)
+    }
+
     /// Goes by what another file says from now on.
     pub fn follow(&self, other: &Limits) {
         self.dial.set(other.dial.get());
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -61,6 +61,7 @@
             (false, false) => ListKind::Changes,
         };
         self.index = number(message, "index").unwrap_or(self.index);
+        self.desk.keep(self.index, kind != ListKind::Changes, entries);
         self.desk.list(kind, &lines);
         Ok(())
     }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -5,6 +5,7 @@
 mod admin;
 mod bodies;
 mod desk;
+mod handover;
 mod intake;
 mod launch;
 mod lengths;
@@ -58,12 +59,35 @@
     if let Some(Err(why)) = start.known.map(|known| lister.told(&known, true)) {
         return Err(format!("known: {why}"));
     }
-    let listener = accept::bind(start.listen, limits.backlog).map_err(|e| format!("listen: {e}"))?;
     let stop = Rc::new(stop::Stop::new());
+    let path = handover::meeting(start.folder, start.listen);
+    let heritage = match &path {
+        Some(path) => handover::inherit(path, &limits)?,
+        None => None,
+    };
+    let mut old = None;
+    let listener = match heritage.map(handover::Heritage::into_parts) {
+        Some((state, listener, stream)) => {
+            // What the operators have said first, so that the list finds it so.
+            for name in &state.left_out {
+                desk.maint(desk.id(name), true);
+            }
+            stop.drain(state.drained);
+            if let Err(why) = lister.told(&state.list, true) {
+                note!("handover: the list is left out: {why}");
+            }
+            old = Some(stream);
+            listener.set_nonblocking(true).and_then(|()| tokio::net::TcpListener::from_std(listener))
+        }
+        None => accept::bind(start.listen, limits.backlog, path.is_some()),
+    };
+    let listener = Rc::new(listener.map_err(|e| format!("listen: {e}"))?);
+    let shared = (desk.clone(), stop.clone(), limits.clone(), room.clone());
+    let peer = handover::Peer::new(shared, path, &listener);
     if let Some(at) = start.admin {
-        let listener = accept::bind(at, limits.backlog).map_err(|e| format!("admin: {at}: {e}"))?;
-        let admin = admin::Admin { desk: desk.clone(), stop: stop.clone(), limits: limits.clone() };
-        spawn_local(Rc::new(admin).run(listener));
+        let listener = accept::bind(at, limits.backlog, false).map_err(|e| format!("admin: {at}: {e}"))?;
+        let (desk, stop, limits, peer) = (desk.clone(), stop.clone(), limits.clone(), peer.clone());
+        spawn_local(Rc::new(admin::Admin { desk, stop, limits, peer }).run(listener));
     }
     let (moved, discovery) = watch::channel(start.discovery);
     let reload = reload::Reload::new(moved, start.file, desk.clone(), limits.clone())
@@ -105,6 +129,7 @@
     });
 
     let launcher = launch::Launcher { pool, desk: desk.clone() };
+    peer.take_over(old).await;
     note!("{}: listening on {}", start.name, start.listen);
     accept::accept(listener, Rc::new(intake::Node { desk, launcher, limits, room, stop })).await;
     Ok(())
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -78,13 +78,12 @@
 pub struct Pool {
     limits: Rc<Limits>,
     room: Room,
-    open: Rc<Cell<usize>>,
     idle: RefCell<HashMap<BackendId, Vec<Idle>>>,
 }
 
 impl Pool {
     pub fn new(limits: Rc<Limits>, room: Room) -> Pool {
-        Pool { limits, room, open: Rc::new(Cell::new(0)), idle: RefCell::new(HashMap::new()) }
+        Pool { limits, room, idle: RefCell::new(HashMap::new()) }
     }
 
     /// The newest idle connection there that is still good, or a new one.
@@ -118,10 +117,11 @@
     }
 
     async fn dial(&self, address: SocketAddr) -> Result<Lease, NoLease> {
-        if self.open.get() >= self.limits.backend_sockets && !self.close_oldest() {
+        let count = &self.limits.sockets.backends;
+        if count.get() >= self.limits.backend_sockets() && !self.close_oldest() {
             return Err(NoLease::Full);
         }
-        let open = Open::new(&self.open);
+        let open = Open::new(count);
         let up = async {
             let stream = TcpStream::connect(address).await.ok()?;
             stream.set_nodelay(true).ok()?;
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -12,6 +12,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// A folder that the node's processes share, if there is one.
+    pub folder: Option<String>,
     /// Where operators call.
     pub admin: Option<SocketAddr>,
     pub seed: u64,
@@ -115,6 +117,7 @@
         // The pool lets go of connections before their backend does: only those it has count.
         terms.conn_idle = Span(limits.backend_idle.get().as_micros() as u64);
         let known = file.get("known").filter(|k| !k.is_null()).cloned();
-        Ok(Start { name, listen, discovery, admin, seed, terms, names, limits, known, file })
+        let folder = variable("TMPDIR");
+        Ok(Start { name, listen, discovery, folder, admin, seed, terms, names, limits, known, file })
     }
 }
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -11,11 +11,14 @@
 pub struct Stop {
     since: watch::Sender<Option<Instant>>,
     away: watch::Sender<Option<Instant>>,
+    /// A new process takes the connections.
+    successor: watch::Sender<bool>,
 }
 
 impl Stop {
     pub fn new() -> Stop {
-        Stop { since: watch::Sender::new(None), away: watch::Sender::new(None) }
+        let (since, away) = (watch::Sender::new(None), watch::Sender::new(None));
+        Stop { since, away, successor: watch::Sender::new(false) }
     }
 
     /// Waits for the signal to stop.
@@ -50,7 +53,24 @@
 
     /// Whether clients are to go, one way or the other: their answers end their connections.
     pub fn leaving(&self) -> bool {
-        self.stopping() || self.drained()
+        self.stopping() || self.drained() || self.succeeded()
+    }
+
+    /// Whether a new process takes the connections from now on.
+    pub fn succeeded_by(&self, there: bool) {
+        self.successor.send_replace(there);
+    }
+
+    pub fn succeeded(&self) -> bool {
+        *self.successor.borrow()
+    }
+
+    /// Over when a new process takes the connections, or takes them no longer.
+    pub async fn succession(&self, there: bool) {
+        let mut successor = self.successor.subscribe();
+        if successor.wait_for(|is| *is == there).await.is_err() {
+            std::future::pending().await
+        }
     }
 
     /// Over so long after the word to send clients away, if it holds then.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -264,6 +264,10 @@
         self.arrange();
     }
 
+    pub fn is_left_out(&self, backend: BackendId) -> bool {
+        self.left_out.contains(&backend)
+    }
+
     fn arrange(&mut self) {
         self.ready.clear();
         for (i, backend) in self.backends.iter_mut().enumerate() {
