Let bodies past 64 KiB flow through, both ways, in a window of the shared room

Design: up to 64 KiB all is read whole as before. Past that a Flow hands on what comes, one frame of 16 KiB at a time, and holds a window of the shared room; who reads slowly slows who writes. An answer is finished for the module with its first bytes; its command stays in hand until the last. A command's body goes with one launch: it holds no place at its backend until the last byte, its time counts from there, and once its start is gone it is not sent again. Not taken: holding bodies up to half the memory (they come to more together, and the client's first byte would wait for the backend's last); a spool in $TMPDIR (it counts as memory); a launch that counts from its first byte (see below). A body's pace is judged from 2 s on at 32 kB a second, a first head may take 2.6 s.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -23,7 +23,6 @@
 /// A connection from a client.
 pub struct Guest {
     guests: Rc<Guests>,
-    came: Instant,
     commands: Cell<usize>,
     /// Heads that hyper has handed on, and which of them told two lengths.
     heads: Cell<usize>,
@@ -49,24 +48,23 @@
     left: Notify,
 }
 
-pub struct Busy<'a>(&'a Guest);
+pub struct Busy(Rc<Guest>);
 
 pub struct Open(Rc<Guest>);
 
 impl Guest {
     fn new(guests: Rc<Guests>) -> Guest {
-        let (came, close, clash) = (Instant::now(), Notify::new(), Rc::default());
+        let (close, clash) = (Notify::new(), Rc::default());
         let (commands, heads, open, known, evicted, part) = Default::default();
         Guest {
             guests,
-            came,
             commands,
             heads,
             clash,
             open,
             part,
             known,
-            idle_since: Cell::new(came),
+            idle_since: Cell::new(Instant::now()),
             close,
             evicted,
         }
@@ -79,14 +77,6 @@
         self.clash.get() != Some(self.heads.get())
     }
 
-    /// How long the body of the command that is coming may take: a stranger's counts from when it came.
-    pub fn body_wait(&self, limits: &Limits) -> Duration {
-        match self.known.get() {
-            true => limits.body_wait,
-            false => limits.body_wait.saturating_sub(self.came.elapsed()),
-        }
-    }
-
     /// When it has been silent, or in the middle of a head, for too long.
     fn due(&self, limits: &Limits) -> Instant {
         match self.known.get() {
@@ -108,17 +98,20 @@
 
     /// Nothing that its client has sent is lost when it ends now.
     fn idle(&self, least: Duration) -> bool {
-        self.open.get() == 0 && !self.part.get() && self.idle_since.get().elapsed() >= least
+        self.open.get() == 0
+            && self.commands.get() == 0
+            && !self.part.get()
+            && self.idle_since.get().elapsed() >= least
     }
 
     /// A command is on it for as long as this lives.
-    pub fn busy(&self) -> Busy<'_> {
+    pub fn busy(self: &Rc<Guest>) -> Busy {
         if !self.known.replace(true) {
             self.guests.known.set(self.guests.known.get() + 1);
         }
         self.commands.set(self.commands.get() + 1);
         self.guests.commands.set(self.guests.commands.get() + 1);
-        Busy(self)
+        Busy(self.clone())
     }
 
     /// Whether there are more connections than are to be kept.
@@ -148,7 +141,7 @@
     }
 }
 
-impl Drop for Busy<'_> {
+impl Drop for Busy {
     fn drop(&mut self) {
         self.0.commands.set(self.0.commands.get() - 1);
         self.0.guests.commands.set(self.0.guests.commands.get() - 1);
--- a/crates/node/src/bodies.rs
+++ b/crates/node/src/bodies.rs
@@ -1,10 +1,20 @@
-//! Bodies of commands and answers: read whole, and counted for as long as any part of one is held.
+//! Bodies of commands and answers: read whole up to a window, past that passed on as they come, and counted for as
+//! long as any part of one is held.
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use std::any::Any;
+use std::cell::Cell;
+use std::fmt;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::time::{sleep, timeout_at, Instant, Sleep};
 
 /// Why a body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -13,8 +23,18 @@
     /// The node holds as many bytes as it may.
     NoRoom,
     Broken,
+    /// It does not get on.
+    Late,
 }
 
+impl fmt::Display for Unread {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{self:?}")
+    }
+}
+
+impl std::error::Error for Unread {}
+
 /// The bytes that all bodies together may take. Shared by both directions.
 #[derive(Clone)]
 pub struct Room {
@@ -42,6 +62,48 @@
     }
 }
 
+impl Kept {
+    fn push(&mut self, data: &[u8]) -> Result<(), Unread> {
+        if data.len() > self.room.free() {
+            return Err(Unread::NoRoom);
+        }
+        self.room.held.fetch_add(data.len(), Relaxed);
+        self.bytes.extend_from_slice(data);
+        Ok(())
+    }
+}
+
+/// A part of the room that a body has for as long as it flows: what it holds of it at a time comes to no more.
+pub struct Window(Room, usize);
+
+impl Drop for Window {
+    fn drop(&mut self) {
+        self.0.held.fetch_sub(self.1, Relaxed);
+    }
+}
+
+/// How a body is read.
+#[derive(Clone, Copy)]
+pub struct Reading {
+    /// Read whole up to here.
+    pub window: usize,
+    /// More than this is none.
+    pub most: usize,
+    /// How long it may be silent, and the bytes a second that give it more time until the window is full.
+    pub silent: Duration,
+    pub rate: usize,
+    /// So long after its first bytes it is passed on as it comes, if it has not come whole by then; none where it
+    /// is read up to the window in any case.
+    pub early: Option<Duration>,
+}
+
+/// What has been read.
+pub enum Start {
+    Whole(Bytes),
+    /// There is more of it than is held.
+    Flows(Flow),
+}
+
 impl Room {
     pub fn new(most: usize) -> Room {
         Room { most, held: Arc::default(), others: Arc::default() }
@@ -59,39 +121,224 @@
         self.others.store(bytes, Relaxed);
     }
 
-    /// A body of so many bytes at most. One that is too large is read on up to the second figure all the same,
-    /// as a connection that is closed with something unread takes the reply with it; past that, or told to go
-    /// past that, it is refused at once.
-    pub async fn whole(&self, mut body: Incoming, most: usize, read_on: usize) -> Result<Bytes, Unread> {
-        let (told, last) = (body.size_hint().lower(), read_on.max(most));
-        if told > last as u64 {
+    fn window(&self, bytes: usize) -> Result<Window, Unread> {
+        if bytes > self.free() {
+            return Err(Unread::NoRoom);
+        }
+        self.held.fetch_add(bytes, Relaxed);
+        Ok(Window(self.clone(), bytes))
+    }
+
+    /// A body, or its start where there is more of it than a window. One that is told to be too large is refused
+    /// at once.
+    pub async fn read(&self, mut body: Incoming, by: Reading) -> Result<Start, Unread> {
+        let told = body.size_hint().lower();
+        let more = told > by.window as u64;
+        if told > by.most as u64 {
             return Err(Unread::TooLarge);
         }
-        if told <= most as u64 && told > self.free() as u64 {
+        if !more && told > self.free() as u64 {
             return Err(Unread::NoRoom);
         }
         let mut kept = Kept { bytes: Vec::new(), room: self.clone() };
-        if told <= most as u64 {
+        if !more {
             kept.bytes.reserve_exact(told as usize);
         }
-        let mut length = 0;
-        while let Some(frame) = body.frame().await {
-            let Ok(data) = frame.map_err(|_| Unread::Broken)?.into_data() else { continue };
-            length += data.len();
-            if length > last {
+        let came = Instant::now();
+        let mut early: Option<Instant> = None;
+        loop {
+            let earned = Duration::from_secs_f64(kept.bytes.len() as f64 / by.rate as f64);
+            let late = came + by.silent + earned;
+            let frame = match timeout_at(early.map_or(late, |early| early.min(late)), body.frame()).await {
+                Ok(Some(frame)) => frame.map_err(|_| Unread::Broken)?,
+                Ok(None) => return Ok(Start::Whole(Bytes::from_owner(kept))),
+                Err(_) if early.is_some_and(|early| early <= Instant::now()) => break,
+                Err(_) => return Err(Unread::Late),
+            };
+            let Ok(data) = frame.into_data() else { continue };
+            kept.push(&data)?;
+            if kept.bytes.len() > by.window || more && by.early.is_some() {
                 break;
             }
-            if length <= most {
-                if data.len() > self.free() {
-                    return Err(Unread::NoRoom);
+            early = early.or(by.early.map(|early| Instant::now() + early));
+        }
+        let window = self.window(by.window)?;
+        let passed = kept.bytes.len();
+        Ok(Start::Flows(Flow {
+            first: Some(Bytes::from_owner(kept)),
+            rest: body,
+            passed,
+            most: by.most,
+            silent: by.silent,
+            since: None,
+            window,
+            over: None,
+            kept: None,
+            cut: Rc::default(),
+        }))
+    }
+}
+
+/// How a body that flows has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Over {
+    Whole,
+    /// Whoever it comes from broke it off, or it was too large.
+    Broken,
+}
+
+/// A body that is passed on as it comes: whoever reads it slowly slows whoever writes it.
+pub struct Flow {
+    first: Option<Bytes>,
+    rest: Incoming,
+    passed: usize,
+    most: usize,
+    silent: Duration,
+    /// Since when whoever writes it has been waited for.
+    since: Option<Pin<Box<Sleep>>>,
+    #[allow(dead_code, reason = "held for the room that it takes")]
+    window: Window,
+    /// Told how it ended, once.
+    over: Option<Box<dyn FnOnce(Over)>>,
+    /// What must live until it has ended.
+    kept: Option<Rc<dyn Any>>,
+    /// The connection that it comes on has been dropped: what then looks like its end is none.
+    cut: Rc<Cell<bool>>,
+}
+
+/// Whoever reads from a connection holds this; dropped with it, it cuts what was still coming.
+pub struct Cut(pub Rc<Cell<bool>>);
+
+impl Drop for Cut {
+    fn drop(&mut self) {
+        self.0.set(true);
+    }
+}
+
+impl Flow {
+    pub fn when_over(&mut self, over: impl FnOnce(Over) + 'static) {
+        self.over = Some(Box::new(over));
+    }
+
+    /// Keeps something until it has ended.
+    pub fn keep(&mut self, kept: Rc<dyn Any>) {
+        self.kept = Some(kept);
+    }
+
+    /// To be dropped with the connection that it comes on.
+    pub fn cut(&self) -> Cut {
+        Cut(self.cut.clone())
+    }
+
+    /// How long whoever writes it may be silent.
+    pub fn patience(&mut self, silent: Duration) {
+        self.silent = silent;
+    }
+
+    fn ends(&mut self, over: Over) {
+        if let Some(told) = self.over.take() {
+            told(over);
+        }
+    }
+
+    /// Reads on and drops what comes, so that a client that still writes gets to see its answer.
+    pub async fn drain(mut self) {
+        self.first = None;
+        while let Some(Ok(_)) = self.frame().await {}
+    }
+}
+
+impl Body for Flow {
+    type Data = Bytes;
+    type Error = Unread;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Unread>>> {
+        if let Some(first) = self.first.take() {
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        loop {
+            let Poll::Ready(frame) = Pin::new(&mut self.rest).poll_frame(cx) else {
+                let silent = self.silent;
+                let since = self.since.get_or_insert_with(|| Box::pin(sleep(silent)));
+                if since.as_mut().poll(cx).is_pending() {
+                    return Poll::Pending;
+                }
+                self.ends(Over::Broken);
+                return Poll::Ready(Some(Err(Unread::Late)));
+            };
+            self.since = None;
+            let data = match frame {
+                None if self.cut.get() => {
+                    self.ends(Over::Broken);
+                    return Poll::Ready(Some(Err(Unread::Broken)));
+                }
+                None => {
+                    self.ends(Over::Whole);
+                    return Poll::Ready(None);
+                }
+                Some(Err(_)) => {
+                    self.ends(Over::Broken);
+                    return Poll::Ready(Some(Err(Unread::Broken)));
                 }
-                self.held.fetch_add(data.len(), Relaxed);
-                kept.bytes.extend_from_slice(&data);
+                Some(Ok(frame)) => frame.into_data(),
+            };
+            // Trailers belong to the connection that they came on.
+            let Ok(data) = data else { continue };
+            self.passed += data.len();
+            if self.passed > self.most {
+                self.ends(Over::Broken);
+                return Poll::Ready(Some(Err(Unread::TooLarge)));
             }
+            if self.rest.is_end_stream() {
+                self.ends(Over::Whole);
+            }
+            return Poll::Ready(Some(Ok(Frame::data(data))));
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let first = self.first.as_ref().map_or(0, Bytes::len) as u64;
+        match self.rest.size_hint().exact() {
+            Some(rest) => SizeHint::with_exact(first + rest),
+            None => SizeHint::default(),
+        }
+    }
+}
+
+/// A body as it goes out, on either side.
+pub enum Out {
+    Whole(Full<Bytes>),
+    Flows(Flow),
+}
+
+impl From<Bytes> for Out {
+    fn from(bytes: Bytes) -> Out {
+        Out::Whole(Full::new(bytes))
+    }
+}
+
+impl Body for Out {
+    type Data = Bytes;
+    type Error = Unread;
+
+    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Unread>>> {
+        match self.get_mut() {
+            Out::Whole(whole) => Pin::new(whole).poll_frame(cx).map_err(|never| match never {}),
+            Out::Flows(flow) => Pin::new(flow).poll_frame(cx),
         }
-        match length <= most {
-            true => Ok(Bytes::from_owner(kept)),
-            false => Err(Unread::TooLarge),
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Out::Whole(whole) if whole.is_end_stream())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Out::Whole(whole) => whole.size_hint(),
+            Out::Flows(flow) => flow.size_hint(),
         }
     }
 }
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -153,12 +153,13 @@
         self.ask(|inner, now| inner.module.place(now, hand, &mut inner.hands[hand.0 as usize].command))
     }
 
-    /// A launch of this command has ended.
-    pub fn after(&self, hand: Hand, done: &Done) -> Say {
+    /// A launch of this command has ended; `spent` if it cannot be sent again.
+    pub fn after(&self, hand: Hand, done: &Done, spent: bool) -> Say {
         self.ask(|inner, now| {
             let key = hand.0 as usize;
             let command = &mut inner.hands[key].command;
             command.closed |= done.outcome == Outcome::Finished;
+            command.spent = spent;
             let say = inner.module.after(now, hand, command, done.number, done.outcome);
             // By the order of fields that it was read in: after a switch that may be another.
             let report = done.report.as_ref().filter(|(turn, _)| *turn == inner.names.turn);
@@ -168,6 +169,17 @@
         })
     }
 
+    /// Whether a launch is out that began with its first bytes, and its last one is still to come.
+    pub fn coming(&self, hand: Hand) -> bool {
+        let command = &self.inner.borrow().hands[hand.0 as usize].command;
+        command.coming && command.out() > 0
+    }
+
+    /// The last byte of its body is on its way: its time counts from here.
+    pub fn flowed(&self, hand: Hand) {
+        self.ask(|inner, now| inner.module.came_whole(now, &mut inner.hands[hand.0 as usize].command));
+    }
+
     /// The names that the module's ids have now.
     pub fn names(&self) -> Rc<Names> {
         self.inner.borrow().names.clone()
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -1,19 +1,19 @@
 //! What a client sends: routes it, reads a command's head and body, and refuses what is not one.
 
 use crate::accept::Guest;
-use crate::bodies::{Room, Unread};
+use crate::bodies::{Out, Room, Start, Unread};
 use crate::desk::Desk;
-use crate::launch::{Cargo, Launcher, TIME_LEFT};
+use crate::launch::{Cargo, Launcher, Load, TIME_LEFT};
 use crate::limits::Limits;
 use crate::list::mark;
 use crate::serve::serve;
 use crate::stop::Stop;
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Response, StatusCode};
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::pin::Pin;
@@ -27,7 +27,7 @@
 use yarrowfront::terms::Effect;
 use yarrowfront::times::Span;
 
-pub type Reply = Response<Full<Bytes>>;
+pub type Reply = Response<Out>;
 
 const ID: &str = "x-correlation-id";
 const PROFILE: &str = "x-service-class";
@@ -58,7 +58,7 @@
 }
 
 pub fn plain(status: StatusCode, text: &str) -> Reply {
-    let mut reply = Response::new(Full::new(Bytes::from(format!("{text}\n"))));
+    let mut reply = Response::new(Out::from(Bytes::from(format!("{text}\n"))));
     *reply.status_mut() = status;
     reply.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     reply
@@ -101,7 +101,7 @@
 }
 
 impl Node {
-    async fn answer(&self, guest: &Guest, request: Request<Incoming>) -> Reply {
+    async fn answer(&self, guest: &Rc<Guest>, request: Request<Incoming>) -> Reply {
         match request.uri().path() {
             "/up" if request.method() == Method::GET => {
                 return match self.stop.leaving() || !self.desk.told() {
@@ -119,29 +119,44 @@
         };
         let left = command.ends.since(command.arrived);
         let (head, body) = request.into_parts();
-        let read = self.room.whole(body, self.limits.body_bytes, self.limits.overlong_bytes);
-        let body = match timeout(guest.body_wait(&self.limits), read).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(Unread::TooLarge)) => return plain(StatusCode::PAYLOAD_TOO_LARGE, "body too large"),
-            Ok(Err(Unread::Broken)) => return plain(StatusCode::BAD_REQUEST, "body broken off"),
+        let body = match self.room.read(body, self.limits.commands).await {
+            Ok(body) => body,
+            Err(Unread::TooLarge) => return plain(StatusCode::PAYLOAD_TOO_LARGE, "body too large"),
+            Err(Unread::Broken) => return plain(StatusCode::BAD_REQUEST, "body broken off"),
             // It was never launched: a turn-back is true.
-            Ok(Err(Unread::NoRoom)) => return plain(StatusCode::SERVICE_UNAVAILABLE, "too many bytes held"),
-            Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "body not here in time"),
+            Err(Unread::NoRoom) => return plain(StatusCode::SERVICE_UNAVAILABLE, "too many bytes held"),
+            Err(Unread::Late) => return plain(StatusCode::REQUEST_TIMEOUT, "body not here in time"),
         };
         // Taken from here on: now nothing closes its connection before its answer is out.
-        let _busy = guest.busy();
+        let busy = guest.busy();
         if guest.full(&self.limits) {
             // It was never launched: a turn-back is true.
             return plain(StatusCode::SERVICE_UNAVAILABLE, "too many commands");
         }
-        // Its time counts from its last byte.
+        // Its time counts from its last byte; from here if that is still to come, and again from there.
         command.arrived = self.desk.clock.now();
         command.ends = command.arrived + left;
         let path = head.uri.path_and_query().cloned().unwrap_or_else(|| PathAndQuery::from_static("/api"));
         let id = head.headers[ID].clone();
         let (method, headers) = (head.method, onward(head.headers));
-        let cargo = Cargo { method, uri: path.into(), headers, body };
-        serve(self, command, id, Rc::new(cargo)).await
+        let mut _cut = None;
+        let body = match body {
+            Start::Whole(body) => Load::Whole(body),
+            Start::Flows(mut flow) => {
+                flow.patience(self.limits.body_silent);
+                command.coming = true;
+                // hyper drops this future with the connection, and the rest of the body with it.
+                _cut = Some(flow.cut());
+                Load::Flows(RefCell::new(Some(flow)))
+            }
+        };
+        let cargo = Rc::new(Cargo { method, uri: path.into(), headers, body });
+        let reply = serve(self, command, id, cargo.clone(), busy).await;
+        if let Some(flow) = cargo.unsent() {
+            // Its client is still writing, and would lose its answer with the connection.
+            drop(tokio::task::spawn_local(timeout(self.limits.drain_wait, flow.drain())));
+        }
+        reply
     }
 
     /// The few fields that the decisions need.
--- a/crates/node/src/launch.rs
+++ b/crates/node/src/launch.rs
@@ -1,21 +1,24 @@
 //! One launch: a command's bytes to one backend, and what came of it.
 
+use crate::bodies::{Flow, Out, Over, Start};
 use crate::desk::Desk;
 use crate::intake::onward;
 use crate::log::note;
 use crate::pool::{Exchange, NoLease, Pool};
 use crate::probe;
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use tokio::time::timeout_at;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::{sleep, sleep_until, timeout_at};
 use tower::Service;
 use yarrowfront::command::Outcome;
 use yarrowfront::ids::BackendId;
@@ -30,7 +33,33 @@
     pub method: Method,
     pub uri: Uri,
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: Load,
+}
+
+/// A command's body.
+pub enum Load {
+    Whole(Bytes),
+    /// It can be sent once: here until a launch has it, and again where that launch has sent nothing of it.
+    Flows(RefCell<Option<Flow>>),
+}
+
+impl Cargo {
+    /// Whether it cannot be sent any more, as a part of it is gone.
+    pub fn spent(&self) -> bool {
+        matches!(&self.body, Load::Flows(flow) if flow.borrow().is_none())
+    }
+
+    pub fn flows(&self) -> bool {
+        matches!(self.body, Load::Flows(_))
+    }
+
+    /// What is left of a body that nobody wants any more.
+    pub fn unsent(&self) -> Option<Flow> {
+        match &self.body {
+            Load::Whole(_) => None,
+            Load::Flows(flow) => flow.take(),
+        }
+    }
 }
 
 pub struct Launch {
@@ -38,14 +67,16 @@
     pub number: u8,
     pub backend: BackendId,
     pub address: Option<SocketAddr>,
-    /// When the command's client gives up.
+    /// When the command's client gives up; for a body that flows, how long after its last byte.
     pub ends: Moment,
+    /// Told once the last byte of a body that flows is on its way.
+    pub flowed: Rc<watch::Sender<bool>>,
 }
 
-/// A backend's answer, read whole.
+/// A backend's answer: whole, or its start and what follows.
 pub struct Answer {
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: Start,
 }
 
 /// How a launch ended.
@@ -98,32 +129,81 @@
         let (number, backend) = (launch.number, launch.backend);
         let mut done = Done::bare(number, backend, Outcome::Unsent);
         let until = self.desk.clock.instant(launch.ends);
-        let Some(address) = launch.address else { return done };
+        // A body that is gone is never sent as an empty one.
+        let Some(address) = launch.address.filter(|_| !launch.cargo.spent()) else { return done };
+        let left = launch.ends.since(self.desk.clock.now());
+        let over: Rc<Cell<Option<Over>>> = Rc::default();
+        let mut request = self.request(&launch, &over);
         loop {
             let lease = match timeout_at(until, self.pool.lease(backend, address)).await {
                 Ok(Ok(lease)) => lease,
                 Ok(Err(NoLease::Unreachable)) => {
                     done.outcome = Outcome::Unreachable;
+                    put_back(&launch, request);
                     return done;
                 }
                 // No socket for it, or the client's time ran out while one was opened: nobody is to blame.
-                Ok(Err(NoLease::Full)) | Err(_) => return done,
+                Ok(Err(NoLease::Full)) | Err(_) => {
+                    put_back(&launch, request);
+                    return done;
+                }
             };
-            let exchange = self.pool.exchange(backend, lease, self.request(&launch));
-            match timeout_at(until, exchange).await {
-                Ok(Exchange::Stale) => continue,
-                Ok(Exchange::Came(response)) => self.read(&mut done, response),
-                Ok(Exchange::Unreachable) => done.outcome = Outcome::Unreachable,
-                Ok(Exchange::Broken) => done.outcome = Outcome::Broken,
-                Err(_) => done.outcome = Outcome::TimedOut,
+            let late = async {
+                if launch.cargo.flows() {
+                    // Its client's time counts from its last byte, and that is for its client to send.
+                    let _ = launch.flowed.subscribe().wait_for(|flowed| *flowed).await;
+                    sleep(Duration::from_micros(left.0)).await;
+                } else {
+                    sleep_until(until).await;
+                }
+            };
+            let exchange = self.pool.exchange(backend, lease, request);
+            let came = tokio::select! {
+                biased;
+                came = exchange => Some(came),
+                () = late => None,
+            };
+            match came {
+                Some(Exchange::Stale(again)) => {
+                    request = again;
+                    continue;
+                }
+                Some(Exchange::Came(response)) => self.read(&mut done, response),
+                Some(Exchange::Unreachable(request)) => {
+                    put_back(&launch, request);
+                    done.outcome = Outcome::Unreachable;
+                }
+                Some(Exchange::Broken) => {
+                    done.outcome = match over.get() {
+                        // Its last byte was never written, so it never ran.
+                        Some(Over::Broken) => Outcome::Unsent,
+                        None if launch.cargo.flows() => Outcome::Unreachable,
+                        _ => Outcome::Broken,
+                    };
+                }
+                None => done.outcome = Outcome::TimedOut,
             }
             return done;
         }
     }
 
     /// The command as it came, but for the time that it still has.
-    fn request(&self, launch: &Launch) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(launch.cargo.body.clone()));
+    fn request(&self, launch: &Launch, over: &Rc<Cell<Option<Over>>>) -> Request<Out> {
+        let body = match &launch.cargo.body {
+            Load::Whole(body) => Out::from(body.clone()),
+            Load::Flows(flow) => match flow.take() {
+                Some(mut flow) => {
+                    let (over, flowed) = (over.clone(), launch.flowed.clone());
+                    flow.when_over(move |how| {
+                        over.set(Some(how));
+                        flowed.send_replace(true);
+                    });
+                    Out::Flows(flow)
+                }
+                None => Out::from(Bytes::new()),
+            },
+        };
+        let mut request = Request::new(body);
         *request.method_mut() = launch.cargo.method.clone();
         *request.uri_mut() = launch.cargo.uri.clone();
         *request.headers_mut() = launch.cargo.headers.clone();
@@ -132,7 +212,7 @@
         request
     }
 
-    fn read(&self, done: &mut Done, response: Response<Bytes>) {
+    fn read(&self, done: &mut Done, response: Response<Start>) {
         let (head, body) = response.into_parts();
         if let Some(load) = head.headers.get(BACKEND_LOAD) {
             let names = self.desk.names();
@@ -152,6 +232,13 @@
     }
 }
 
+/// A body of which nothing was sent is there for another launch.
+fn put_back(launch: &Launch, request: Request<Out>) {
+    if let (Load::Flows(place), Out::Flows(flow)) = (&launch.cargo.body, request.into_body()) {
+        place.replace(Some(flow));
+    }
+}
+
 /// For the log, in the on-call page's words.
 fn words(outcome: Outcome) -> &'static str {
     match outcome {
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -1,6 +1,7 @@
 //! Every size, count and time that bounds the node: filled once at start and handed down. What the settings
 //! say of them follows when they change; descriptors and memory are the process's own and stay.
 
+use crate::bodies::Reading;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,10 +19,14 @@
 pub struct Limits {
     /// The head of a command or an answer.
     pub head_bytes: usize,
-    /// The body of a command: the protocol's figure.
-    pub body_bytes: usize,
-    /// The body of an answer.
-    pub answer_bytes: usize,
+    /// How bodies of commands and of answers are read.
+    pub commands: Reading,
+    pub answers: Reading,
+    /// How long a client's body that flows may be silent, and a backend's, or a client that reads one.
+    pub body_silent: Duration,
+    pub flow_silent: Duration,
+    /// How long a body is read on after its command has been answered.
+    pub drain_wait: Duration,
     /// All bodies that are held at a time, of commands and of answers.
     pub held_bytes: usize,
     /// One line of the list.
@@ -34,8 +39,6 @@
     pub sockets: Sockets,
     /// Connections from clients that are kept for their next command; past that an answer ends its connection.
     kept_sockets: usize,
-    /// Of a body that is too large, what is still read, so that its client gets to see the answer.
-    pub overlong_bytes: usize,
     /// Connections from operators, and what they may send of a body that no call has.
     pub admin_sockets: usize,
     pub admin_body_bytes: usize,
@@ -68,8 +71,6 @@
     /// idle.
     pub first_wait: Duration,
     pub guest_idle: Duration,
-    /// How long a body may take to come: it has no time limit of its own until its last byte.
-    pub body_wait: Duration,
     /// How long a command may be in hand at most, whatever its client says.
     pub longest_command: Duration,
     /// Between two looks for idle connections to close.
@@ -84,6 +85,10 @@
 /// Standard streams, the runtime's own, the listeners, discovery, operators, and some that are just being closed.
 const KEPT_BACK: usize = 64;
 
+/// Of a body what is read whole, the protocol's figure, and the largest that is passed on.
+const WINDOW: usize = 64 << 10;
+const LARGEST: usize = 32 << 20;
+
 impl Limits {
     pub fn fill(sockets: usize, memory_mb: usize, dial: Duration, idle: Duration, limit: Duration) -> Limits {
         let memory = memory_mb << 20;
@@ -93,14 +98,30 @@
         let client_sockets = (room * 3 / 5).max(4);
         Limits {
             head_bytes: 16 << 10,
-            body_bytes: 64 << 10,
-            // The protocol has 64 KiB for answers too, but good ones of 370,000 bytes were seen: as much as a
-            // few at a time can hold, and far from the gigabytes that a spoilt head may tell.
-            answer_bytes: memory / 16,
+            // A body has no time limit of its own until its last byte. An honest one comes at 64 kB a second and
+            // in pieces: half of that, and two seconds to begin with.
+            commands: Reading {
+                window: WINDOW,
+                most: LARGEST,
+                silent: Duration::from_millis(2000),
+                rate: 32 << 10,
+                early: None,
+            },
+            // Its launch has a time limit. One that does not say how large it is is held for so long only.
+            answers: Reading {
+                window: WINDOW,
+                most: LARGEST,
+                silent: Duration::from_secs(600),
+                rate: 32 << 10,
+                early: Some(Duration::from_millis(100)),
+            },
+            body_silent: Duration::from_millis(2500),
+            // A slow reader's kernel holds some megabytes for it: it is long before it reads on.
+            flow_silent: Duration::from_secs(60),
+            drain_wait: Duration::from_secs(5),
             // The other half is for connections' buffers, the list and the program itself.
             held_bytes: memory / 2,
             line_bytes: 4 << 20,
-            overlong_bytes: 1 << 20,
             client_sockets,
             backend_sockets: (room * 2 / 5).max(4),
             surplus_sockets,
@@ -128,8 +149,8 @@
             last_look: Duration::from_millis(20),
             settle: Duration::from_millis(100),
             // Whoever sends nothing of use is told so, or is gone, within three seconds of coming.
-            first_wait: Duration::from_millis(2000),
-            body_wait: Duration::from_millis(2500),
+            // An honest head may take two of them.
+            first_wait: Duration::from_millis(2600),
             // Clients come back within a few seconds or never; each one kept costs a descriptor and a buffer.
             guest_idle: Duration::from_secs(20),
             longest_command: Duration::from_secs(600),
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -1,11 +1,9 @@
 //! Connections to backends: the newest idle one first, a new one where there is none, and no more of them
 //! than the budget allows.
 
-use crate::bodies::Room;
+use crate::bodies::{Out, Over, Room, Start};
 use crate::limits::Limits;
 use crate::log::note;
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
@@ -36,7 +34,7 @@
 
 /// A connection in use. Dropped, it is closed: that is how a launch is given up.
 pub struct Lease {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Out>,
     /// It was opened for this use.
     fresh: bool,
     address: SocketAddr,
@@ -66,12 +64,13 @@
 
 /// What came of a request on a leased connection.
 pub enum Exchange {
-    Came(Response<Bytes>),
+    /// The whole answer, or its start.
+    Came(Response<Start>),
     /// The backend had closed the pooled connection, and the request was surely never written: take another.
-    Stale,
+    Stale(Request<Out>),
     /// So had it a new one.
-    Unreachable,
-    /// It may have been written whole, and no whole answer came.
+    Unreachable(Request<Out>),
+    /// It may have been written whole, and no answer came that is one.
     Broken,
 }
 
@@ -127,7 +126,7 @@
             stream.set_nodelay(true).ok()?;
             let mut builder = http1::Builder::new();
             builder.max_buf_size(self.limits.head_bytes);
-            builder.handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await.ok()
+            builder.handshake::<_, Out>(TokioIo::new(stream)).await.ok()
         };
         let (sender, connection) =
             timeout(self.limits.dial.get(), up).await.ok().flatten().ok_or(NoLease::Unreachable)?;
@@ -139,33 +138,51 @@
         Ok(Lease { sender, fresh: true, address, _task: TaskEnd(task.abort_handle()) })
     }
 
-    /// Sends a request and reads the whole answer; then the connection is there for the next.
+    /// Sends a request and reads the answer. Once it has come whole the connection is there for the next; one that
+    /// flows has it until then.
     pub async fn exchange(
-        &self,
+        self: &Rc<Pool>,
         backend: BackendId,
         mut lease: Lease,
-        request: Request<Full<Bytes>>,
+        request: Request<Out>,
     ) -> Exchange {
         let response = match lease.sender.try_send_request(request).await {
             Ok(response) => response,
             // Only a request that comes back was surely never written.
-            Err(error) if error.message().is_none() => return Exchange::Broken,
-            Err(_) if lease.fresh => return Exchange::Unreachable,
-            Err(_) => return Exchange::Stale,
+            Err(mut error) => {
+                return match error.take_message() {
+                    None => Exchange::Broken,
+                    Some(request) if lease.fresh => Exchange::Unreachable(request),
+                    Some(request) => Exchange::Stale(request),
+                }
+            }
         };
         let (head, body) = response.into_parts();
-        let most = self.limits.answer_bytes;
-        match self.room.whole(body, most, most).await {
-            Ok(body) => {
-                self.give_back(backend, lease);
-                Exchange::Came(Response::from_parts(head, body))
-            }
+        let start = match self.room.read(body, self.limits.answers).await {
+            Ok(start) => start,
             Err(why) => {
                 // The lease goes with it: nothing more can come of this connection.
                 note!("pool: an answer is left out: {why:?}");
-                Exchange::Broken
+                return Exchange::Broken;
             }
-        }
+        };
+        let start = match start {
+            Start::Whole(body) => {
+                self.give_back(backend, lease);
+                Start::Whole(body)
+            }
+            Start::Flows(mut flow) => {
+                let pool = self.clone();
+                flow.patience(self.limits.flow_silent);
+                flow.when_over(move |over| {
+                    if over == Over::Whole {
+                        pool.give_back(backend, lease);
+                    }
+                });
+                Start::Flows(flow)
+            }
+        };
+        Exchange::Came(Response::from_parts(head, start))
     }
 
     fn give_back(&self, backend: BackendId, lease: Lease) {
--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -1,11 +1,11 @@
 //! Asks a backend for its load, and reads load reports.
 
+use crate::bodies::{Out, Start};
 use crate::desk::Desk;
 use crate::limits::Limits;
 use crate::log::note;
 use crate::pool::{Exchange, Pool};
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::header::{HeaderValue, HOST};
 use hyper::{Request, StatusCode, Uri};
 use serde_json::Value;
@@ -62,14 +62,15 @@
         let host = HeaderValue::from_str(&address.to_string()).ok()?;
         loop {
             let lease = self.pool.lease(backend, address).await.ok()?;
-            let mut request = Request::new(Full::new(Bytes::new()));
+            let mut request = Request::new(Out::from(Bytes::new()));
             *request.uri_mut() = Uri::from_static("/metrics/load");
             request.headers_mut().insert(HOST, host.clone());
             return match self.pool.exchange(backend, lease, request).await {
-                Exchange::Stale => continue,
-                Exchange::Came(response) if response.status() == StatusCode::OK => {
-                    Some(report(&self.desk.names().report, response.body()).unwrap_or_default())
-                }
+                Exchange::Stale(_) => continue,
+                Exchange::Came(response) if response.status() == StatusCode::OK => match response.body() {
+                    Start::Whole(body) => Some(report(&self.desk.names().report, body).unwrap_or_default()),
+                    Start::Flows(_) => None,
+                },
                 _ => None,
             };
         }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -1,13 +1,14 @@
 //! A command's life, from the moment it is in hand to its answer.
 
+use crate::accept::Busy;
+use crate::bodies::{Out, Start};
 use crate::desk::Desk;
 use crate::intake::{plain, Node, Reply};
 use crate::launch::{Answer, Cargo, Done, Launch};
-use http_body_util::Full;
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use std::rc::Rc;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::sleep;
 use tower::ServiceExt;
 use yarrowfront::command::{Command, Outcome};
@@ -22,6 +23,8 @@
     ended: mpsc::UnboundedReceiver<Done>,
     /// By a launch's number: what calls it off.
     out: Vec<Option<oneshot::Sender<()>>>,
+    /// Its connection stays as long as it does.
+    _busy: Busy,
 }
 
 impl Drop for Held {
@@ -30,25 +33,28 @@
         // An outcome that nobody came to read is told all the same; later ones are told by their launches.
         self.ended.close();
         while let Ok(done) = self.ended.try_recv() {
-            self.desk.after(self.hand, &done);
+            self.desk.after(self.hand, &done, false);
         }
     }
 }
 
-pub async fn serve(node: &Node, command: Command, id: HeaderValue, cargo: Rc<Cargo>) -> Reply {
+pub async fn serve(node: &Node, command: Command, id: HeaderValue, cargo: Rc<Cargo>, busy: Busy) -> Reply {
     let desk = &node.desk;
     let ends = command.ends;
     let Some((hand, again)) = desk.take(command, id) else {
         return plain(StatusCode::CONFLICT, "a command with this id is in hand");
     };
     let (end, ended) = mpsc::unbounded_channel();
-    let mut held = Held { desk: desk.clone(), hand, ended, out: Vec::new() };
+    let mut held = Held { desk: desk.clone(), hand, ended, out: Vec::new(), _busy: busy };
+    let (flowed, mut over) = watch::channel(false);
+    let flowed = Rc::new(flowed);
     let mut say = desk.place(hand);
     loop {
         match say {
             Say::Launch(backend) => {
                 let (number, address) = (desk.last_launch(hand), desk.address(backend));
-                let launch = Launch { cargo: cargo.clone(), number, backend, address, ends };
+                let (cargo, flowed) = (cargo.clone(), flowed.clone());
+                let launch = Launch { cargo, number, backend, address, ends, flowed };
                 let (launcher, desk, end) = (node.launcher.clone(), desk.clone(), end.clone());
                 let (kept, called_off) = oneshot::channel();
                 held.out.push(Some(kept));
@@ -61,7 +67,7 @@
                         Ok(()) = called_off => Done::bare(number, backend, Outcome::Cancelled),
                     };
                     if let Err(unread) = end.send(done) {
-                        desk.after(hand, &unread.0);
+                        desk.after(hand, &unread.0, false);
                     }
                 });
             }
@@ -74,23 +80,36 @@
             }
         }
         let wait = desk.wait(hand);
+        // While its body flows nothing is late: its time counts from the last byte.
+        let flows = desk.coming(hand);
         say = tokio::select! {
             biased;
             Some(mut done) = held.ended.recv() => {
-                let say = desk.after(hand, &done);
+                let say = desk.after(hand, &done, cargo.spent());
                 if let Some(answer) = done.answer.take() {
-                    return finished(answer);
+                    return finished(answer, held);
                 }
                 say
             }
-            () = again.notified() => desk.place(hand),
-            () = sleep(wait.unwrap_or_default()), if wait.is_some() => desk.place(hand),
+            Ok(()) = over.changed(), if flows => {
+                desk.flowed(hand);
+                Say::NotYet
+            }
+            () = again.notified(), if !flows => desk.place(hand),
+            () = sleep(wait.unwrap_or_default()), if wait.is_some() && !flows => desk.place(hand),
         };
     }
 }
 
-fn finished(answer: Answer) -> Reply {
-    let mut reply = Response::new(Full::new(answer.body));
+fn finished(answer: Answer, held: Held) -> Reply {
+    let mut reply = Response::new(match answer.body {
+        Start::Whole(body) => Out::from(body),
+        // In hand until its last byte is out: its id is not free before, nor does its connection count as idle.
+        Start::Flows(mut flow) => {
+            flow.keep(Rc::new(held));
+            Out::Flows(flow)
+        }
+    });
     *reply.headers_mut() = answer.headers;
     reply
 }
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -50,6 +50,15 @@
         (self.ghost, self.ghost_at) = (self.ghost_left(now) + cost, now);
     }
 
+    /// A launch holds a place.
+    pub(crate) fn occupy(&mut self, now: Moment, cost: f64) {
+        if self.in_flight == 0 {
+            self.quiet_since = now;
+        }
+        self.in_flight += 1;
+        self.pending += cost;
+    }
+
     /// A launch holds its place no longer.
     pub(crate) fn release(&mut self, launch: &Launch) {
         self.in_flight -= 1;
--- a/src/command.rs
+++ b/src/command.rs
@@ -67,6 +67,9 @@
     /// What it is about; commands with equal keys are related, and 0 says nothing.
     pub key: u64,
     pub closed: bool,
+    /// Its last byte is still to come, and it cannot be sent again as its first are gone.
+    pub coming: bool,
+    pub spent: bool,
     pub(crate) seen: bool,
     pub(crate) waiting: bool,
     pub(crate) look_at: Moment,
@@ -90,6 +93,8 @@
             repeat: false,
             key: 0,
             closed: false,
+            coming: false,
+            spent: false,
             seen: false,
             waiting: false,
             look_at: Moment(u64::MAX),
@@ -123,6 +128,19 @@
         self.launches.iter_mut().flatten().find(|l| l.fate == Fate::Out && !l.lost)
     }
 
+    /// Its last byte came only now, and a launch that is out began with it: its times count from here.
+    pub(crate) fn came_whole(&mut self, now: Moment) {
+        (self.coming, self.spent) = (false, true);
+        let late = now.since(self.arrived);
+        (self.arrived, self.ends) = (now, self.ends + late);
+        self.look_at = self.look_at + late;
+        for launch in self.launches.iter_mut().flatten().filter(|l| l.fate == Fate::Out) {
+            launch.lost_at = launch.lost_at + now.since(launch.sent);
+            launch.sent = now;
+            launch.lost = false;
+        }
+    }
+
     pub(crate) fn add(&mut self, launch: Launch) {
         self.launches[usize::from(self.count)] = Some(launch);
         self.count += 1;
@@ -136,3 +154,12 @@
     pub(crate) hand: Hand,
     pub(crate) latest: Moment,
 }
+
+/// Where a command may still go and until when, and whether it may be turned back.
+pub(crate) struct Bounds {
+    pub(crate) launch: bool,
+    pub(crate) turn_back: bool,
+    pub(crate) until: Moment,
+    pub(crate) zone: Option<ZoneId>,
+    pub(crate) group: Option<GroupId>,
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -3,8 +3,8 @@
 //! what the node wants besides goes out by `errand`. Nothing here blocks, reads a clock or touches a socket.
 
 use crate::backend::{Backend, Row};
-use crate::command::{Command, Fate, Held, Launch, Outcome, MOST_LAUNCHES};
-use crate::ids::{BackendId, GroupId, Hand, KindId, ZoneId};
+use crate::command::{Bounds, Command, Fate, Held, Launch, Outcome, MOST_LAUNCHES};
+use crate::ids::{BackendId, Hand, KindId};
 pub use crate::listed::{ListKind, Listed, State};
 use crate::portion;
 pub use crate::say::{Errand, Say};
@@ -200,6 +200,15 @@
         self.anew(now, hand, command)
     }
 
+    /// The last byte is here of a command whose launch began before it: until now that held no place, as a
+    /// backend begins with the last byte, and slow clients would make it look full and silent.
+    pub fn came_whole(&mut self, now: Moment, command: &mut Command) {
+        command.came_whole(now);
+        if let Some(launch) = command.awaited() {
+            self.backends[self.index[&launch.backend]].occupy(now, launch.cost);
+        }
+    }
+
     /// What follows when no launch is awaited any more: another one, or the end.
     fn anew(&mut self, now: Moment, hand: Hand, command: &mut Command) -> Say {
         if now < self.goal_end(command) && self.may_launch(now, command) && self.relaunches >= 1.0 {
@@ -548,7 +557,8 @@
     fn may_launch(&self, now: Moment, command: &Command) -> bool {
         let bounds = self.bounds(command);
         let most = self.terms.most_launches.min(MOST_LAUNCHES);
-        bounds.launch && now < bounds.until && now < command.ends && command.launched() < most
+        let may = bounds.launch && !command.spent && command.launched() < most;
+        may && now < bounds.until && now < command.ends
     }
 
     /// Time there for a unit of work. What is not known yet is taken from the kind and the warm-up; what was
@@ -830,11 +840,9 @@
         let b = &mut self.backends[i];
         b.open = if dialled { 0 } else { b.open - 1 };
         (b.token, b.untried) = (None, false);
-        if b.in_flight == 0 {
-            b.quiet_since = now;
+        if !command.coming {
+            b.occupy(now, cost);
         }
-        b.in_flight += 1;
-        b.pending += cost;
         b.poured = level;
         b.poured_at = now;
         self.launched_at = now;
@@ -848,7 +856,7 @@
             ahead: ahead + cost,
             depth: b.in_flight,
             lost_at,
-            lost: false,
+            lost: command.coming,
             dialled,
         });
         command.look_at = self.goal_end(command).min(lost_at).max(now);
@@ -1119,11 +1127,3 @@
 fn alone(launch: &Launch) -> bool {
     launch.ahead <= 1.5 * launch.cost
 }
-
-struct Bounds {
-    launch: bool,
-    turn_back: bool,
-    until: Moment,
-    zone: Option<ZoneId>,
-    group: Option<GroupId>,
-}
--- a/src/portion.rs
+++ b/src/portion.rs
@@ -28,7 +28,7 @@
     BuildHasherDefault::<DefaultHasher>::default().hash_one(mark)
 }
 
-/// A backend's place in the order of those that may hold what belongs to a key, the first the lowest: all nodes
+/// A backend's place in the order of those that may hold what belongs to a key, the first the lowest: nodes
 /// have one order a key, in which each backend stands first for as many keys as it is large.
 pub(crate) fn key_rank(mark: u64, size: f64, key: u64) -> u64 {
     let draw = (rank(rank(mark) ^ key) >> 11) as f64 + 1.0;
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -652,3 +652,33 @@
         assert_ne!(bench.place(&mut third), Say::Launch(BackendId(1)), "seed {seed}: it is cold");
     }
 }
+
+/// A launch whose body is still coming holds no place: slow clients made their backends look full and silent, and half
+/// of all was turned back. From its last byte on it holds one and its times count, and no timer sends it again, as
+/// what was sent then had no body left.
+#[test]
+fn bodies_that_come_slowly() {
+    let mut bench = Bench::new(3);
+    bench.warm_up_costs();
+    bench.list_groups(&[(1, 0)]);
+    let mut slow = bench.command(0);
+    slow.coming = true;
+    assert_eq!(bench.place(&mut slow), Say::Launch(BackendId(1)));
+    for n in 0..4 {
+        let mut quick = bench.command(0);
+        assert_eq!(bench.place(&mut quick), Say::Launch(BackendId(1)), "command {n}");
+        bench.finish(&mut quick, 50);
+    }
+    bench.later(3000);
+    bench.node.came_whole(bench.now, &mut slow);
+    let [mut next, mut other] = [(); 2].map(|()| bench.command(0));
+    assert_eq!(bench.place(&mut next), Say::NotYet, "now its place is taken");
+    assert_eq!(bench.node.wait(bench.now, Some(&slow)), Some(Span::millis(GOAL)), "its goal time begins");
+    bench.list_groups(&[(1, 0), (2, 0)]);
+    bench.later(499);
+    assert_eq!(bench.place(&mut slow), Say::NotYet, "far too late, and not sent again");
+    assert_eq!(slow.launched(), 1);
+    assert_eq!(bench.place(&mut other), Say::Launch(BackendId(2)), "there is room for it all the same");
+    let say = bench.after(&mut slow, 0, Outcome::Broken);
+    assert!(matches!(say, Say::TurnBack(_)), "nor after its launch broke: {say:?}");
+}
