--- a/crates/node/src/bodies.rs
+++ b/crates/node/src/bodies.rs
@@ -85,8 +85,9 @@
 /// How a body is read.
 #[derive(Clone, Copy)]
 pub struct Reading {
-    /// Read whole up to here.
+    /// Read whole up to here; further while less than half of the room is held, where that is said.
     pub window: usize,
+    pub further: bool,
     /// More than this is none.
     pub most: usize,
     /// How long it may be silent, and the bytes a second that give it more time until the window is full.
@@ -113,6 +114,11 @@
         self.most.saturating_sub(self.held.load(Relaxed) + self.others.load(Relaxed))
     }
 
+    /// Whether more than half of it is free.
+    fn ample(&self) -> bool {
+        self.free() > self.most / 2
+    }
+
     pub fn held(&self) -> usize {
         self.held.load(Relaxed)
     }
@@ -141,7 +147,8 @@
             return Err(Unread::NoRoom);
         }
         let mut kept = Kept { bytes: Vec::new(), room: self.clone() };
-        if !more {
+        if !more || by.further {
+            // What is not written yet takes no memory.
             kept.bytes.reserve_exact(told as usize);
         }
         let came = Instant::now();
@@ -157,7 +164,8 @@
             };
             let Ok(data) = frame.into_data() else { continue };
             kept.push(&data)?;
-            if kept.bytes.len() > by.window || more && by.early.is_some() {
+            let full = kept.bytes.len() > by.window && !(by.further && self.ample());
+            if full || more && by.early.is_some() {
                 break;
             }
             early = early.or(by.early.map(|early| Instant::now() + early));
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -276,6 +276,11 @@
     /// Leaves a backend out, or uses it again, from this call on.
     pub fn maint(&self, backend: BackendId, out: bool) {
         self.ask(|inner, now| inner.module.maint(now, backend, out));
+        // The next process too is to know that it is cold.
+        let name = self.name(backend);
+        if let Some(entry) = self.entries.borrow_mut().1.get_mut(&name).filter(|_| !out) {
+            since(entry, self.clock.now().0 / 1000);
+        }
     }
 
     /// The names of all that are left out by the operators' word.
@@ -289,13 +294,18 @@
     pub fn keep(&self, index: u64, whole: bool, entries: &[Value]) {
         let (at, kept) = &mut *self.entries.borrow_mut();
         *at = index;
+        let before = kept.clone();
         if whole {
             kept.clear();
         }
         for entry in entries {
             let text = |key| entry.get(key).and_then(Value::as_str);
             match (text("name"), text("status")) {
-                (Some(name), Some("ready" | "draining")) => drop(kept.insert(name.to_owned(), entry.clone())),
+                (Some(name), Some("ready" | "draining")) => {
+                    let mut entry = entry.clone();
+                    since(&mut entry, before.get(name).map_or(0, start));
+                    kept.insert(name.to_owned(), entry);
+                }
                 (Some(name), _) => drop(kept.remove(name)),
                 _ => {}
             }
@@ -323,6 +333,18 @@
     }
 }
 
+/// When an entry of the list says that its backend started, in milliseconds.
+fn start(entry: &Value) -> u64 {
+    entry.get("since_ms").and_then(Value::as_f64).unwrap_or(0.0) as u64
+}
+
+/// It started then, unless the entry tells of a later start.
+fn since(entry: &mut Value, millis: u64) {
+    if start(entry) < millis {
+        entry["since_ms"] = millis.into();
+    }
+}
+
 impl Inner {
     fn let_go(&mut self, key: usize) {
         let held = &self.hands[key];
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -3,11 +3,11 @@
 #[allow(dead_code)]
 mod world;
 
-use serde_json::json;
+use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::os::unix::net::UnixListener;
+use std::os::unix::net::{UnixListener, UnixStream};
 use std::process::Child;
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::sync::Arc;
@@ -210,3 +210,38 @@
         assert_eq!(text.contains("starting as from nothing"), says, "{what}: {text}");
     }
 }
+
+/// What a new process is told, asked for as one would; another version, half a word and noise get nothing, and the
+/// process at the door serves on. A backend called back is told to have started then, whatever the list says: to a new
+/// process it would be warm.
+#[test]
+fn what_a_new_process_is_told() {
+    let (world, admin) = world(2, |_| Act::Finish);
+    let path = world.folder.join(format!("{}.sock", world.listen));
+    let ask = |text: &str| {
+        let mut stream = UnixStream::connect(&path).expect("a door");
+        stream.set_read_timeout(Some(Duration::from_secs(10))).expect("a limit");
+        stream.write_all(text.as_bytes()).expect("written");
+        let mut lines = BufReader::new(stream).lines().map_while(Result::ok);
+        lines.next();
+        lines.next().and_then(|line| serde_json::from_str::<Value>(&line).ok())
+    };
+    for text in ["{\"hello\":{\"version\":99}}\n", "{\"hello\":{\"vers", "no word\n", "{\"done\":null}\n"] {
+        assert_eq!(ask(text), None, "{text}");
+    }
+    for text in ["PUT /backends/b0/maint", "PUT /backends/b0/ready", "PUT /backends/b1/maint"] {
+        assert_eq!(call(admin, text).status(), 200);
+    }
+    until("a watch", || world.watches.load(SeqCst) > 0);
+    let line = json!({"index": 77, "snapshot": true, "endpoints": world.entries}).to_string();
+    world.list.send(line).expect("a watch");
+    let mut state = Value::Null;
+    until("the list of that index", || {
+        state = ask("{\"hello\":{\"version\":1}}\n").unwrap_or_default()["state"].clone();
+        state["list"]["index"] == 77
+    });
+    assert_eq!(state["left_out"], json!(["b1"]));
+    let entries = &state["list"]["endpoints"];
+    assert!(entries[0]["since_ms"].as_u64() > Some(0) && entries[1]["since_ms"] == 0, "{entries}");
+    assert_eq!(world.command("read").status(), 200);
+}
