--- a/crates/node/src/bodies.rs
+++ b/crates/node/src/bodies.rs
@@ -85,9 +85,8 @@
 /// How a body is read.
 #[derive(Clone, Copy)]
 pub struct Reading {
-    /// Read whole up to here; further while less than half of the room is held, where that is said.
+    /// Read whole up to here.
     pub window: usize,
-    pub further: bool,
     /// More than this is none.
     pub most: usize,
     /// How long it may be silent, and the bytes a second that give it more time until the window is full.
@@ -114,11 +113,6 @@
         self.most.saturating_sub(self.held.load(Relaxed) + self.others.load(Relaxed))
     }
 
-    /// Whether more than half of it is free.
-    fn ample(&self) -> bool {
-        self.free() > self.most / 2
-    }
-
     pub fn held(&self) -> usize {
         self.held.load(Relaxed)
     }
@@ -147,8 +141,7 @@
             return Err(Unread::NoRoom);
         }
         let mut kept = Kept { bytes: Vec::new(), room: self.clone() };
-        if !more || by.further {
-            // What is not written yet takes no memory.
+        if !more {
             kept.bytes.reserve_exact(told as usize);
         }
         let came = Instant::now();
@@ -164,8 +157,7 @@
             };
             let Ok(data) = frame.into_data() else { continue };
             kept.push(&data)?;
-            let full = kept.bytes.len() > by.window && !(by.further && self.ample());
-            if full || more && by.early.is_some() {
+            if kept.bytes.len() > by.window || more && by.early.is_some() {
                 break;
             }
             early = early.or(by.early.map(|early| Instant::now() + early));
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -102,8 +102,6 @@
             // in pieces: half of that, and two seconds to begin with.
             commands: Reading {
                 window: WINDOW,
-                // The later its backend is chosen, the better: it begins with the last byte.
-                further: true,
                 most: LARGEST,
                 silent: Duration::from_millis(2000),
                 rate: 32 << 10,
@@ -112,7 +110,6 @@
             // Its launch has a time limit. One that does not say how large it is is held for so long only.
             answers: Reading {
                 window: WINDOW,
-                further: false,
                 most: LARGEST,
                 silent: Duration::from_secs(600),
                 rate: 32 << 10,
