At a stop leave answers that flow alone and turn late bodies back; read on for the last answer

A connection that has ended is shut down for writing and read on for 0.5 s (accept::linger), a body that nobody wants for 5 s. Not taken: reading bodies on behind a kept connection, as at a stop none is kept; passing connections on to the new process in the middle of an answer, as hyper's buffers cannot be passed. Line: accept.rs, the end at end_by whatever flows.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -9,12 +9,13 @@
 use hyper_util::service::TowerToHyperService;
 use slab::Slab;
 use std::cell::{Cell, RefCell};
-use std::future::ready;
+use std::future::{poll_fn, ready};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::yield_now;
@@ -213,11 +214,16 @@
             guests.left.notified().await;
         }
     };
+    // Nothing is waited for but commands in hand: answers that flow go on until the process is killed.
+    let owed = async {
+        node.stop.past(node.limits.end_by.get()).await;
+        while guests.commands.get() > 0 {
+            sleep(node.limits.settle).await;
+        }
+    };
     tokio::select! {
         () = gone => {}
-        () = node.stop.past(node.limits.end_by.get()) => {
-            note!("stop: {} connections still open", guests.here.borrow().len());
-        }
+        () = owed => note!("stop: {} connections still open", guests.here.borrow().len()),
     }
 }
 
@@ -256,17 +262,17 @@
         let followed =
             Followed { stream, heads: Heads::new(), clash: guest.clash.clone(), part: guest.part.clone() };
         let service = TowerToHyperService::new(Intake { node: node.clone(), guest: guest.clone() });
-        let mut connection = pin!(builder.serve_connection(TokioIo::new(followed), service));
+        let mut connection = builder.serve_connection(TokioIo::new(followed), service);
         let mut closing = false;
-        loop {
+        let ended = loop {
             let due = guest.due(&limits).max(Instant::now() + limits.settle);
             tokio::select! {
                 // First what has come on it: a command that is read by now is answered before the end.
                 biased;
                 // A client that goes ends it: whatever was in hand is dropped and told to the module.
-                _ = connection.as_mut() => break,
+                _ = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break true,
                 () = ready(()), if closing => {
-                    connection.as_mut().graceful_shutdown();
+                    Pin::new(&mut connection).graceful_shutdown();
                     closing = false;
                 }
                 () = guest.close.notified() => {
@@ -274,13 +280,16 @@
                     yield_now().await;
                     closing = true;
                 }
-                () = sleep(limits.settle), if guest.evicted.get() => if guest.commands.get() == 0 { break },
+                () = sleep(limits.settle), if guest.evicted.get() => if guest.commands.get() == 0 { break false },
                 () = sleep_until(due), if !guest.evicted.get() => {
                     if guest.commands.get() == 0 && guest.due(&limits) <= Instant::now() {
                         guest.evict();
                     }
                 }
             }
+        };
+        if ended {
+            linger(connection.into_parts().io.into_inner().stream, limits.linger).await;
         }
         guests.here.borrow_mut().remove(key);
         node.limits.sockets.clients.set(guests.here.borrow().len());
@@ -288,6 +297,18 @@
     });
 }
 
+/// Ends a connection from this side, and reads on until its client does so too, or for so long: closed with something
+/// unread the kernel resets it, and the answer that is on its way is lost.
+async fn linger(mut stream: TcpStream, wait: Duration) {
+    let reading = async {
+        let mut rest = [0; 4096];
+        if stream.shutdown().await.is_ok() {
+            while stream.read(&mut rest).await.is_ok_and(|n| n > 0) {}
+        }
+    };
+    let _ = timeout(wait, reading).await;
+}
+
 /// Closes the connection that has been idle for longest, if any is: first of those on which no command has come
 /// yet. One that has just come is not idle: it would be closed with its first command unread.
 fn close_idle(guests: &Slab<Rc<Guest>>, least: Duration) {
--- a/crates/node/src/bodies.rs
+++ b/crates/node/src/bodies.rs
@@ -8,13 +8,13 @@
 use std::cell::Cell;
 use std::fmt;
 use std::future::Future;
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::time::{sleep, timeout_at, Instant, Sleep};
+use tokio::time::{sleep, timeout, timeout_at, Instant, Sleep};
 
 /// Why a body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,6 +25,8 @@
     Broken,
     /// It does not get on.
     Late,
+    /// Nobody waits for it any more.
+    GivenUp,
 }
 
 impl fmt::Display for Unread {
@@ -131,7 +133,13 @@
 
     /// A body, or its start where there is more of it than a window. One that is told to be too large is refused
     /// at once.
-    pub async fn read(&self, mut body: Incoming, by: Reading) -> Result<Start, Unread> {
+    pub async fn read(
+        &self,
+        mut body: Incoming,
+        by: Reading,
+        given_up: impl Future<Output = ()>,
+    ) -> Result<Start, Unread> {
+        let mut given_up = pin!(given_up);
         let told = body.size_hint().lower();
         let more = told > by.window as u64;
         if told > by.most as u64 {
@@ -149,14 +157,26 @@
         loop {
             let earned = Duration::from_secs_f64(kept.bytes.len() as f64 / by.rate as f64);
             let late = came + by.silent + earned;
-            let frame = match timeout_at(early.map_or(late, |early| early.min(late)), body.frame()).await {
+            let frame = timeout_at(early.map_or(late, |early| early.min(late)), body.frame());
+            let frame = tokio::select! {
+                biased;
+                frame = frame => frame,
+                () = &mut given_up => {
+                    linger(body);
+                    return Err(Unread::GivenUp);
+                }
+            };
+            let frame = match frame {
                 Ok(Some(frame)) => frame.map_err(|_| Unread::Broken)?,
                 Ok(None) => return Ok(Start::Whole(Bytes::from_owner(kept))),
                 Err(_) if early.is_some_and(|early| early <= Instant::now()) => break,
                 Err(_) => return Err(Unread::Late),
             };
             let Ok(data) = frame.into_data() else { continue };
-            kept.push(&data)?;
+            if let Err(why) = kept.push(&data) {
+                linger(body);
+                return Err(why);
+            }
             if kept.bytes.len() > by.window || more && by.early.is_some() {
                 break;
             }
@@ -166,7 +186,8 @@
         let passed = kept.bytes.len();
         Ok(Start::Flows(Flow {
             first: Some(Bytes::from_owner(kept)),
-            rest: body,
+            rest: Some(body),
+            linger: false,
             passed,
             most: by.most,
             silent: by.silent,
@@ -190,7 +211,10 @@
 /// A body that is passed on as it comes: whoever reads it slowly slows whoever writes it.
 pub struct Flow {
     first: Option<Bytes>,
-    rest: Incoming,
+    /// Until it has ended.
+    rest: Option<Incoming>,
+    /// Whoever writes it is owed an answer, and reads it only if not cut off.
+    linger: bool,
     passed: usize,
     most: usize,
     silent: Duration,
@@ -230,24 +254,36 @@
         Cut(self.cut.clone())
     }
 
-    /// How long whoever writes it may be silent.
-    pub fn patience(&mut self, silent: Duration) {
-        self.silent = silent;
+    /// How long whoever writes it may be silent, and whether it is a client.
+    pub fn patience(&mut self, silent: Duration, client: bool) {
+        (self.silent, self.linger) = (silent, client);
     }
 
     fn ends(&mut self, over: Over) {
+        self.rest = None;
         if let Some(told) = self.over.take() {
             told(over);
         }
     }
+}
 
-    /// Reads on and drops what comes, so that a client that still writes gets to see its answer.
-    pub async fn drain(mut self) {
-        self.first = None;
-        while let Some(Ok(_)) = self.frame().await {}
+impl Drop for Flow {
+    fn drop(&mut self) {
+        if let Some(rest) = self.rest.take().filter(|_| self.linger) {
+            linger(rest);
+        }
     }
 }
 
+/// How long a body is read on after its command has been answered: an honest one of a few hundred kB takes as long.
+const LINGER: Duration = Duration::from_secs(5);
+
+/// Reads on and drops what comes: a connection that is closed with something unread takes the answer with it.
+fn linger(mut body: Incoming) {
+    let rest = async move { while let Some(Ok(_)) = body.frame().await {} };
+    drop(tokio::task::spawn_local(timeout(LINGER, rest)));
+}
+
 impl Body for Flow {
     type Data = Bytes;
     type Error = Unread;
@@ -260,7 +296,8 @@
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
         loop {
-            let Poll::Ready(frame) = Pin::new(&mut self.rest).poll_frame(cx) else {
+            let Some(rest) = &mut self.rest else { return Poll::Ready(None) };
+            let Poll::Ready(frame) = Pin::new(rest).poll_frame(cx) else {
                 let silent = self.silent;
                 let since = self.since.get_or_insert_with(|| Box::pin(sleep(silent)));
                 if since.as_mut().poll(cx).is_pending() {
@@ -292,7 +329,7 @@
                 self.ends(Over::Broken);
                 return Poll::Ready(Some(Err(Unread::TooLarge)));
             }
-            if self.rest.is_end_stream() {
+            if self.rest.as_ref().is_some_and(Body::is_end_stream) {
                 self.ends(Over::Whole);
             }
             return Poll::Ready(Some(Ok(Frame::data(data))));
@@ -301,7 +338,7 @@
 
     fn size_hint(&self) -> SizeHint {
         let first = self.first.as_ref().map_or(0, Bytes::len) as u64;
-        match self.rest.size_hint().exact() {
+        match self.rest.as_ref().map_or(Some(0), |rest| rest.size_hint().exact()) {
             Some(rest) => SizeHint::with_exact(first + rest),
             None => SizeHint::default(),
         }
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -20,7 +20,6 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::time::timeout;
 use tower::Service;
 use yarrowfront::command::Command;
 use yarrowfront::ids::CommandId;
@@ -119,12 +118,15 @@
         };
         let left = command.ends.since(command.arrived);
         let (head, body) = request.into_parts();
-        let body = match self.room.read(body, self.limits.commands).await {
+        // At a stop what is still to come then would not be answered in time.
+        let given_up = self.stop.past(self.limits.idle_on);
+        let body = match self.room.read(body, self.limits.commands, given_up).await {
             Ok(body) => body,
             Err(Unread::TooLarge) => return plain(StatusCode::PAYLOAD_TOO_LARGE, "body too large"),
             Err(Unread::Broken) => return plain(StatusCode::BAD_REQUEST, "body broken off"),
             // It was never launched: a turn-back is true.
             Err(Unread::NoRoom) => return plain(StatusCode::SERVICE_UNAVAILABLE, "too many bytes held"),
+            Err(Unread::GivenUp) => return plain(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
             Err(Unread::Late) => return plain(StatusCode::REQUEST_TIMEOUT, "body not here in time"),
         };
         // Taken from here on: now nothing closes its connection before its answer is out.
@@ -143,7 +145,7 @@
         let body = match body {
             Start::Whole(body) => Load::Whole(body),
             Start::Flows(mut flow) => {
-                flow.patience(self.limits.body_silent);
+                flow.patience(self.limits.body_silent, true);
                 command.coming = true;
                 // hyper drops this future with the connection, and the rest of the body with it.
                 _cut = Some(flow.cut());
@@ -151,12 +153,7 @@
             }
         };
         let cargo = Rc::new(Cargo { method, uri: path.into(), headers, body });
-        let reply = serve(self, command, id, cargo.clone(), busy).await;
-        if let Some(flow) = cargo.unsent() {
-            // Its client is still writing, and would lose its answer with the connection.
-            drop(tokio::task::spawn_local(timeout(self.limits.drain_wait, flow.drain())));
-        }
-        reply
+        serve(self, command, id, cargo, busy).await
     }
 
     /// The few fields that the decisions need.
--- a/crates/node/src/launch.rs
+++ b/crates/node/src/launch.rs
@@ -52,14 +52,6 @@
     pub fn flows(&self) -> bool {
         matches!(self.body, Load::Flows(_))
     }
-
-    /// What is left of a body that nobody wants any more.
-    pub fn unsent(&self) -> Option<Flow> {
-        match &self.body {
-            Load::Whole(_) => None,
-            Load::Flows(flow) => flow.take(),
-        }
-    }
 }
 
 pub struct Launch {
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -25,8 +25,6 @@
     /// How long a client's body that flows may be silent, and a backend's, or a client that reads one.
     pub body_silent: Duration,
     pub flow_silent: Duration,
-    /// How long a body is read on after its command has been answered.
-    pub drain_wait: Duration,
     /// All bodies that are held at a time, of commands and of answers.
     pub held_bytes: usize,
     /// One line of the list.
@@ -67,6 +65,8 @@
     pub last_look: Duration,
     /// A connection without a command for so long is idle; before, its first may be on the way.
     pub settle: Duration,
+    /// How long a connection that has ended is read on, so that its client sees its last answer.
+    pub linger: Duration,
     /// How long a connection may take to its first whole head, and how long one that has had a command may be
     /// idle.
     pub first_wait: Duration,
@@ -115,10 +115,11 @@
                 rate: 32 << 10,
                 early: Some(Duration::from_millis(100)),
             },
+            // Some trips, and what a client writes until it has read its answer.
+            linger: Duration::from_millis(500),
             body_silent: Duration::from_millis(2500),
             // A slow reader's kernel holds some megabytes for it: it is long before it reads on.
             flow_silent: Duration::from_secs(60),
-            drain_wait: Duration::from_secs(5),
             // The other half is for connections' buffers, the list and the program itself.
             held_bytes: memory / 2,
             line_bytes: 4 << 20,
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -9,6 +9,7 @@
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -158,7 +159,7 @@
             }
         };
         let (head, body) = response.into_parts();
-        let start = match self.room.read(body, self.limits.answers).await {
+        let start = match self.room.read(body, self.limits.answers, pending()).await {
             Ok(start) => start,
             Err(why) => {
                 // The lease goes with it: nothing more can come of this connection.
@@ -173,7 +174,7 @@
             }
             Start::Flows(mut flow) => {
                 let pool = self.clone();
-                flow.patience(self.limits.flow_silent);
+                flow.patience(self.limits.flow_silent, false);
                 flow.when_over(move |over| {
                     if over == Over::Whole {
                         pool.give_back(backend, lease);
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -29,6 +29,12 @@
 
 impl Drop for Held {
     fn drop(&mut self) {
+        if self.desk.coming(self.hand) {
+            // Nobody waits for it any more, and it must not begin.
+            for out in self.out.iter_mut().filter_map(Option::take) {
+                let _ = out.send(());
+            }
+        }
         self.desk.leave(self.hand);
         // An outcome that nobody came to read is told all the same; later ones are told by their launches.
         self.ended.close();
@@ -95,6 +101,8 @@
                 desk.flowed(hand);
                 Say::NotYet
             }
+            // At a stop its last byte would come too late for an answer. Until then it has not run.
+            () = node.stop.past(node.limits.idle_on), if flows => return turn_back(Span(0)),
             () = again.notified(), if !flows => desk.place(hand),
             () = sleep(wait.unwrap_or_default()), if wait.is_some() && !flows => desk.place(hand),
         };
--- a/crates/node/tests/bodies.rs
+++ b/crates/node/tests/bodies.rs
@@ -163,3 +163,30 @@
     assert_eq!(stream.set_read_timeout(Some(Duration::from_millis(50))).ok(), Some(()));
     assert!(stream.read(&mut [0]).is_err(), "nothing more comes");
 }
+
+/// At a stop an answer that flows is not cut off, however long its client takes; a body that still comes is turned
+/// back while there is time for that, and its client, which goes on writing, gets to see it.
+#[test]
+fn a_stop_between_bodies() {
+    let mut world = World::new(2, |_| Act::Sized(24 * MIB), |_| {});
+    let [mut reads, mut writes, mut begins] = [(); 3].map(|()| world.connect());
+    reads.write_all(command("pay", "a body", "").as_bytes()).expect("written");
+    until("it has begun", || reads.peek(&mut [0; 8]).is_ok_and(|n| n > 0));
+    for (stream, first) in [(&mut writes, MIB), (&mut begins, 100)] {
+        let head = command("pay", "", "").replace("Length: 0", &format!("Length: {}", first + MIB));
+        stream.write_all(head.as_bytes()).expect("written");
+        stream.write_all(&bytes(first)).expect("written");
+    }
+    sleep(Duration::from_millis(100));
+    world.signal("-TERM");
+    for (stream, what) in [(&mut writes, "flows"), (&mut begins, "is read")] {
+        let reply = read(stream).unwrap_or_default();
+        assert_eq!((reply.status(), reply.header("connection")), (503, Some("close")), "{what}");
+        assert!(stream.write_all(&bytes(MIB)).is_ok(), "{what}: it is read on");
+    }
+    sleep(Duration::from_millis(1500));
+    let reply = read(&mut reads).expect("whole");
+    assert!(reply.body == bytes(24 * MIB), "{} bytes", reply.body.len());
+    assert!(world.node.wait().expect("an end").success());
+    assert_eq!(world.launched(), 1, "what did not come whole never ran");
+}
