Tell each process the other's ids in hand; refuse limits that no node can serve with

Design: ids go with Held, before Left and with every beat, both ways, in place of once at the handover. Not taken: one word an id, which costs more than the whole list every 50 ms at 300 commands a second. Cause (found by reading against the issue): an id taken by the old process after the handover, on a connection kept open, was not known to the new one, and none of the new one's to the old. The new test finds 409 on both sides; it fails without the ids in Held. limits.sockets under 80 and limits.memory_mb under 8 end the start with one line that names the key; what a process and its operators need of the descriptors kept back is checked by the compiler.

--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -49,16 +49,15 @@
     State(State),
     /// The new process can take connections, and the old one takes none from here on.
     Ready,
-    Left {
-        /// What clients call the commands in hand.
-        ids: Vec<String>,
-    },
+    Left,
     Call(Call),
     Done,
     Held {
         clients: usize,
         backends: usize,
         bytes: usize,
+        /// What clients call the commands in hand: elsewhere they would run twice.
+        ids: Vec<String>,
     },
 }
 
@@ -308,6 +307,11 @@
         serde_json::from_slice(&text).ok()
     }
 
+    fn held(&self) -> Word {
+        let (sockets, bytes, ids) = (&self.limits.sockets, self.room.held(), self.desk.ids_in_hand());
+        Word::Held { clients: sockets.clients.get(), backends: sockets.backends.get(), bytes, ids }
+    }
+
     /// Goes along with the other process until one of the two ends.
     async fn follow(self: Rc<Peer>, mut read: OwnedReadHalf, link: Rc<Link>, side: Side) {
         let (heard, mut words) = mpsc::unbounded_channel();
@@ -324,9 +328,7 @@
             let word = tokio::select! {
                 word = words.recv() => word,
                 _ = beat.tick() => {
-                    let sockets = &self.limits.sockets;
-                    let (clients, backends) = (sockets.clients.get(), sockets.backends.get());
-                    let _ = link.out.send(Word::Held { clients, backends, bytes: self.room.held() });
+                    let _ = link.out.send(self.held());
                     continue;
                 }
             };
@@ -335,21 +337,19 @@
                 Some(Word::Ready) if side == Side::Old => {
                     note!("handover: the new process takes the connections from here on");
                     self.stop.succeeded_by(true);
-                    let _ = link.out.send(Word::Left { ids: self.desk.ids_in_hand() });
-                }
-                Some(Word::Left { ids }) => {
-                    self.desk.elsewhere(ids);
-                    link.answered();
+                    let _ = link.out.send(self.held());
+                    let _ = link.out.send(Word::Left);
                 }
                 Some(Word::Call(call)) => {
                     call.carry_out(&self.desk, &self.stop);
                     let _ = link.out.send(Word::Done);
                 }
-                Some(Word::Done) => link.answered(),
-                Some(Word::Held { clients, backends, bytes }) => {
+                Some(Word::Left | Word::Done) => link.answered(),
+                Some(Word::Held { clients, backends, bytes, ids }) => {
                     self.limits.sockets.other_clients.set(clients);
                     self.limits.sockets.other_backends.set(backends);
                     self.room.others_hold(bytes);
+                    self.desk.elsewhere(ids);
                 }
                 Some(other) => note!("handover: left out: {other:?}"),
             }
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -84,19 +84,40 @@
 
 /// Standard streams, the runtime's own, the listeners, discovery, operators, and some that are just being closed.
 const KEPT_BACK: usize = 64;
+/// Of these: the streams, the runtime, the listeners, discovery, the other process and its door; and operators.
+const OWN: usize = 20;
+const OPERATORS: usize = 24;
+const _: () = assert!(OWN + OPERATORS <= KEPT_BACK);
+
+/// The least that a node can serve with: eight commands at a time, and their windows.
+const LEAST_SOCKETS: usize = KEPT_BACK + 16;
+const LEAST_MEMORY_MB: usize = 8;
 
 /// Of a body what is read whole, the protocol's figure, and the largest that is passed on.
 const WINDOW: usize = 64 << 10;
 const LARGEST: usize = 32 << 20;
 
 impl Limits {
-    pub fn fill(sockets: usize, memory_mb: usize, dial: Duration, idle: Duration, limit: Duration) -> Limits {
+    pub fn fill(
+        sockets: usize,
+        memory_mb: usize,
+        dial: Duration,
+        idle: Duration,
+        limit: Duration,
+    ) -> Result<Limits, String> {
+        for (key, is, least) in
+            [("sockets", sockets, LEAST_SOCKETS), ("memory_mb", memory_mb, LEAST_MEMORY_MB)]
+        {
+            if is < least {
+                return Err(format!("limits.{key}: {is} is too little, {least} is the least"));
+            }
+        }
         let memory = memory_mb << 20;
         let surplus_sockets = sockets / 16;
         let room = sockets.saturating_sub(KEPT_BACK + surplus_sockets).max(8);
         // A command has one connection on either side; clients keep more of them idle than the pool does.
         let client_sockets = (room * 3 / 5).max(4);
-        Limits {
+        Ok(Limits {
             head_bytes: 16 << 10,
             // A body has no time limit of its own until its last byte. An honest one comes at 64 kB a second and
             // in pieces: half of that, and two seconds to begin with.
@@ -130,7 +151,7 @@
             // Clients open a third of the descriptors for commands: half of that may stand idle.
             kept_sockets: sockets / 6,
             // Of those kept back. A call is answered in a millisecond: the others only hold their connection.
-            admin_sockets: 24,
+            admin_sockets: OPERATORS,
             admin_body_bytes: 64 << 10,
             // An operator's call is owed its answer in a second, and half of that is for the other process.
             peer_wait: Duration::from_millis(600),
@@ -159,7 +180,7 @@
             accept_pause: Duration::from_millis(5),
             tick: Duration::from_millis(1),
             notes_per_s: 5,
-        }
+        })
     }
 
     /// What this process may have of a budget, with what the other one holds: a quarter at the least, as that one
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -113,7 +113,7 @@
             nanos(&file, "settings.limits.dialTimeout")?,
             nanos(&file, "settings.limits.connIdle")?,
             Duration::from_micros(longest.0),
-        );
+        )?;
         // The pool lets go of connections before their backend does: only those it has count.
         terms.conn_idle = Span(limits.backend_idle.get().as_micros() as u64);
         let known = file.get("known").filter(|k| !k.is_null()).cloned();
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -211,6 +211,34 @@
     }
 }
 
+/// An id that is in hand in either of two processes is open in both: passed on again its command would run twice.
+#[test]
+fn ids_in_hand_of_both() {
+    let acts = |n| if n < 2 { Act::Sized(24 << 20) } else { Act::Finish };
+    let (mut world, first) = world(4, acts);
+    let (old, new) = (command("pay", "a body", ""), command("pay", "a body", ""));
+    let [mut by_old, mut kept] = [(); 2].map(|()| world.connect());
+    by_old.write_all(old.as_bytes()).expect("written");
+    until("it is in hand", || by_old.peek(&mut [0; 8]).is_ok_and(|n| n > 0));
+    kept.write_all(UP.as_bytes()).expect("written");
+    assert_eq!(read(&mut kept).expect("an answer").status(), 200);
+    let (process, admin) = beside(&world);
+    ready(admin);
+    assert_eq!(world.ask(&old).status(), 409, "asked again of the new one");
+    let mut by_new = world.connect();
+    by_new.write_all(new.as_bytes()).expect("written");
+    until("it is in hand", || by_new.peek(&mut [0; 8]).is_ok_and(|n| n > 0));
+    // The old one hears of it with the next beat, a call's answer behind that.
+    sleep(Duration::from_millis(500));
+    assert_eq!(call(first, "PUT /healthcheck/ok").status(), 200);
+    kept.write_all(new.as_bytes()).expect("written");
+    assert_eq!(read(&mut kept).unwrap_or_default().status(), 409, "asked again of the old one");
+    assert_eq!(world.launched(), 2);
+    let mut old = std::mem::replace(&mut world.node, process);
+    old.kill().expect("killed");
+    old.wait().expect("an end");
+}
+
 /// What a new process is told, asked for as one would; another version, half a word and noise get nothing, and the
 /// process at the door serves on. A backend called back is told to have started then, whatever the list says: to a new
 /// process it would be warm.
