Read what the other process says ahead; copy no list; say the operators' set-up once

Heritage is taken apart where it is used. - desk.rs copied the whole list with each message of discovery; now a whole list takes the place of the one before, and a change looks at its own entry alone. - admin.rs had a tower service by hand, a twin of intake's: tower's service_fn serves, as it has no state to name. - accept.rs waited for the succession in two branches, one for either turn; one branch waits for the other turn. - operators.rs and upgrade.rs each built their world: World::with_admin and UP stand in world/mod.rs. Seen and left: `Row`, `Held` and `Bounds` are books beside commands and backends, two readings of a line at the start go byte by byte as what follows is for the link's reader; intake and launch keep services by hand, as they are named.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -168,14 +168,14 @@
     loop {
         let held = guests.here.borrow().len();
         let most = node.limits.client_sockets() + node.limits.surplus_sockets;
+        let succeeded = node.stop.succeeded();
         if held >= most {
             close_idle(&guests.here.borrow(), node.limits.settle);
         }
         let accepted = tokio::select! {
             // A new process takes them: what waits in the kernel's queue is in its queue too.
-            () = node.stop.succession(false), if node.stop.succeeded() => continue,
-            () = node.stop.succession(true), if !node.stop.succeeded() => continue,
-            accepted = listener.accept(), if held < most && !node.stop.succeeded() => accepted,
+            () = node.stop.succession(!succeeded) => continue,
+            accepted = listener.accept(), if held < most && !succeeded => accepted,
             // Until one goes the kernel keeps the others. Silent ones must not stop that for ever.
             () = guests.left.notified(), if held >= most => continue,
             () = sleep(node.limits.settle), if held >= most => continue,
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -19,14 +19,12 @@
 use slab::Slab;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::future::Future;
-use std::pin::{pin, Pin};
+use std::pin::pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::{sleep, Instant};
-use tower::Service;
+use tower::service_fn;
 
 /// What a call asks for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -105,28 +103,6 @@
     pub peer: Rc<Peer>,
 }
 
-/// The service that one connection sees.
-#[derive(Clone)]
-struct Window {
-    admin: Rc<Admin>,
-    caller: Rc<Caller>,
-}
-
-impl Service<Request<Incoming>> for Window {
-    type Response = Reply;
-    type Error = Infallible;
-    type Future = Pin<Box<dyn Future<Output = Result<Reply, Infallible>>>>;
-
-    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn call(&mut self, request: Request<Incoming>) -> Self::Future {
-        let Window { admin, caller } = self.clone();
-        Box::pin(async move { Ok(admin.answer(&caller, request).await) })
-    }
-}
-
 impl Admin {
     async fn answer(&self, caller: &Caller, request: Request<Incoming>) -> Reply {
         let (head, body) = request.into_parts();
@@ -218,7 +194,11 @@
         let mut builder = http1::Builder::new();
         builder.keep_alive(false).max_buf_size(self.limits.head_bytes);
         let wait = self.limits.admin_wait;
-        let service = TowerToHyperService::new(Window { admin: self, caller: caller.clone() });
+        let heard = caller.clone();
+        let service = TowerToHyperService::new(service_fn(move |request| {
+            let (admin, caller) = (self.clone(), heard.clone());
+            async move { Ok::<_, Infallible>(admin.answer(&caller, request).await) }
+        }));
         let connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
         tokio::select! {
             _ = connection => {}
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -294,16 +294,15 @@
     pub fn keep(&self, index: u64, whole: bool, entries: &[Value]) {
         let (at, kept) = &mut *self.entries.borrow_mut();
         *at = index;
-        let before = kept.clone();
-        if whole {
-            kept.clear();
-        }
+        // A whole list leaves nothing of the one before but when its backends were said to have started.
+        let mut before = if whole { std::mem::take(kept) } else { BTreeMap::new() };
         for entry in entries {
             let text = |key| entry.get(key).and_then(Value::as_str);
             match (text("name"), text("status")) {
                 (Some(name), Some("ready" | "draining")) => {
                     let mut entry = entry.clone();
-                    since(&mut entry, before.get(name).map_or(0, start));
+                    let known = before.remove(name).or_else(|| kept.remove(name));
+                    since(&mut entry, known.as_ref().map_or(0, start));
                     kept.insert(name.to_owned(), entry);
                 }
                 (Some(name), _) => drop(kept.remove(name)),
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -74,7 +74,7 @@
 pub struct Heritage {
     pub state: State,
     pub listener: std::net::TcpListener,
-    stream: StdUnixStream,
+    pub stream: StdUnixStream,
 }
 
 /// Where the processes of the node that listens there find each other; nowhere without a folder of their own.
@@ -129,6 +129,9 @@
     Ok(line)
 }
 
+/// What the other process says. One for as long as the link lasts: it reads ahead.
+type Reader = tokio::io::BufReader<OwnedReadHalf>;
+
 /// The other process, for as long as it is there.
 struct Link {
     out: mpsc::UnboundedSender<Word>,
@@ -159,10 +162,10 @@
 }
 
 pub struct Peer {
-    pub desk: Rc<Desk>,
-    pub stop: Rc<Stop>,
-    pub limits: Rc<Limits>,
-    pub room: Room,
+    desk: Rc<Desk>,
+    stop: Rc<Stop>,
+    limits: Rc<Limits>,
+    room: Room,
     path: Option<PathBuf>,
     /// Weak, as the kernel's queue must close with the one who reads it.
     listener: Weak<TcpListener>,
@@ -196,7 +199,7 @@
                 Ok(stream) => {
                     let (read, write) = stream.into_split();
                     let link = self.join(write);
-                    tokio::task::spawn_local(self.clone().follow(read, link.clone(), Side::New));
+                    tokio::task::spawn_local(self.clone().follow(Reader::new(read), link.clone(), Side::New));
                     if !link.ask(Word::Ready, self.limits.peer_wait).await {
                         note!("handover: the old process has not said that it takes no more connections");
                     }
@@ -249,7 +252,8 @@
 
     /// Somebody is at the door: a new process, if it says so in time.
     async fn greet(self: Rc<Peer>, stream: UnixStream) {
-        let (mut read, mut write) = stream.into_split();
+        let (read, mut write) = stream.into_split();
+        let mut read = Reader::new(read);
         let hello = timeout(self.limits.peer_wait, self.next(&mut read)).await;
         let Ok(Some(Word::Hello { version: VERSION })) = hello else {
             note!("handover: somebody came who is no new process of this version");
@@ -263,8 +267,7 @@
             let _ = write.write_all(&[b"\n", &no[..]].concat()).await;
             return;
         };
-        let link = self.join_after(&mut write, &listener).await;
-        match link {
+        match self.join_after(&mut write, &listener).await {
             Ok(()) => {
                 note!("handover: a new process has what this one knows");
                 let link = self.join(write);
@@ -299,11 +302,9 @@
         link
     }
 
-    async fn next(&self, read: &mut OwnedReadHalf) -> Option<Word> {
+    async fn next(&self, read: &mut Reader) -> Option<Word> {
         let mut text = Vec::new();
-        // Byte by byte here too, as each word is asked for by itself; there are few of them.
-        let mut reader = tokio::io::BufReader::with_capacity(1, read.take(self.limits.line_bytes as u64));
-        reader.read_until(b'\n', &mut text).await.ok()?;
+        read.take(self.limits.line_bytes as u64).read_until(b'\n', &mut text).await.ok()?;
         serde_json::from_slice(&text).ok()
     }
 
@@ -313,7 +314,7 @@
     }
 
     /// Goes along with the other process until one of the two ends.
-    async fn follow(self: Rc<Peer>, mut read: OwnedReadHalf, link: Rc<Link>, side: Side) {
+    async fn follow(self: Rc<Peer>, mut read: Reader, link: Rc<Link>, side: Side) {
         let (heard, mut words) = mpsc::unbounded_channel();
         let reader = self.clone();
         let reading = tokio::task::spawn_local(async move {
@@ -377,9 +378,3 @@
     sendmsg(stream, &[IoSlice::new(b"\n")], &mut beside, SendFlags::NOSIGNAL)?;
     Ok(())
 }
-
-impl Heritage {
-    pub fn into_parts(self) -> (State, std::net::TcpListener, StdUnixStream) {
-        (self.state, self.listener, self.stream)
-    }
-}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -66,8 +66,8 @@
         None => None,
     };
     let mut old = None;
-    let listener = match heritage.map(handover::Heritage::into_parts) {
-        Some((state, listener, stream)) => {
+    let listener = match heritage {
+        Some(handover::Heritage { state, listener, stream }) => {
             // What the operators have said first, so that the list finds it so.
             for name in &state.left_out {
                 desk.maint(desk.id(name), true);
--- a/crates/node/tests/operators.rs
+++ b/crates/node/tests/operators.rs
@@ -5,27 +5,16 @@
 
 use serde_json::json;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 use std::thread::sleep;
 use std::time::Duration;
 use world::*;
 
-const UP: &str = "GET /up HTTP/1.1\r\nHost: n\r\n\r\n";
-
-/// A node with a second address, and that address.
-fn world(backends: usize, acts: fn(usize) -> Act) -> (World, SocketAddr) {
-    let world = World::new(backends, acts, |config| {
-        config["admin"] = second_address(config).to_string().into();
-    });
-    let admin = world.config["admin"].as_str().and_then(|a| a.parse().ok()).expect("an address");
-    (world, admin)
-}
-
 /// Each call has its one answer; what is no call changes nothing. Callers that hold their connection with no whole
 /// call on it, more of them than there is room for, keep nobody out.
 #[test]
 fn calls_and_what_is_none() {
-    let (world, admin) = world(1, |_| Act::Finish);
+    let (world, admin) = World::with_admin(1, |_| Act::Finish);
     let mut silent: Vec<TcpStream> = (0..40).map(|_| dial(admin)).collect();
     for half in &mut silent[20..] {
         half.write_all(b"PUT /backends/b0/maint HTTP/1.1\r\nHost: n\r\nContent-Length: 9\r\n\r\nhalf")
@@ -62,7 +51,7 @@
 /// call back has it used again. With all out, commands are turned back at once.
 #[test]
 fn backends_left_out() {
-    let (world, admin) = world(2, |_| Act::Finish);
+    let (world, admin) = World::with_admin(2, |_| Act::Finish);
     assert_eq!(call(admin, "PUT /backends/b0/maint").status(), 200);
     assert_eq!(call(admin, "PUT /backends/b0/maint").status(), 200);
     let whole = json!({"index": 9, "snapshot": true, "endpoints": world.entries}).to_string();
@@ -94,7 +83,7 @@
 /// back undoes it, also half way, and each call may come twice.
 #[test]
 fn clients_sent_away() {
-    let (mut world, admin) = world(1, |_| Act::Late);
+    let (mut world, admin) = World::with_admin(1, |_| Act::Late);
     let ask = |stream: &mut TcpStream, text: &str| {
         stream.write_all(text.as_bytes()).expect("written");
         read(stream).unwrap_or_default()
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -15,16 +15,6 @@
 use std::time::Duration;
 use world::*;
 
-const UP: &str = "GET /up HTTP/1.1\r\nHost: n\r\n\r\n";
-
-fn world(backends: usize, acts: fn(usize) -> Act) -> (World, SocketAddr) {
-    let world = World::new(backends, acts, |config| {
-        config["admin"] = second_address(config).to_string().into();
-    });
-    let admin = world.config["admin"].as_str().and_then(|a| a.parse().ok()).expect("an address");
-    (world, admin)
-}
-
 /// A process beside those that run, and its second address.
 fn beside(world: &World) -> (Child, SocketAddr) {
     let admin = second_address(&world.config);
@@ -54,7 +44,7 @@
 /// keep their connection are told to go before it ends.
 #[test]
 fn nothing_is_lost() {
-    let (mut world, _) = world(4, |_| Act::Finish);
+    let (mut world, _) = World::with_admin(4, |_| Act::Finish);
     let over = Arc::new(AtomicBool::new(false));
     let load = |kept: bool| {
         let (over, listen) = (over.clone(), world.listen);
@@ -93,7 +83,7 @@
 /// so, clients stay sent away, and so does the list as discovery told it last.
 #[test]
 fn what_was_said_holds() {
-    let (mut world, first) = world(3, |_| Act::Finish);
+    let (mut world, first) = World::with_admin(3, |_| Act::Finish);
     until("a watch", || world.watches.load(SeqCst) > 0);
     let mut gone = world.entries[2].clone();
     gone["status"] = "gone".into();
@@ -140,7 +130,7 @@
 /// is refused while two run.
 #[test]
 fn the_old_process_goes_on() {
-    let (mut world, first) = world(2, |_| Act::Finish);
+    let (mut world, first) = World::with_admin(2, |_| Act::Finish);
     let bad = world.folder.join("bad.json");
     std::fs::write(&bad, "{").expect("a file");
     let taken = first.to_string();
@@ -192,7 +182,7 @@
     for (what, peer, says) in
         [("stale", stale, false), ("hangs", hangs, true), ("another version", other, true)]
     {
-        let (mut first, _) = world(1, |_| Act::Finish);
+        let (mut first, _) = World::with_admin(1, |_| Act::Finish);
         first.node.kill().expect("killed");
         first.node.wait().expect("an end");
         let path = first.folder.join(format!("{}.sock", first.listen));
@@ -215,7 +205,7 @@
 #[test]
 fn ids_in_hand_of_both() {
     let acts = |n| if n < 2 { Act::Sized(24 << 20) } else { Act::Finish };
-    let (mut world, first) = world(4, acts);
+    let (mut world, first) = World::with_admin(4, acts);
     let (old, new) = (command("pay", "a body", ""), command("pay", "a body", ""));
     let [mut by_old, mut kept] = [(); 2].map(|()| world.connect());
     by_old.write_all(old.as_bytes()).expect("written");
@@ -244,7 +234,7 @@
 /// process it would be warm.
 #[test]
 fn what_a_new_process_is_told() {
-    let (world, admin) = world(2, |_| Act::Finish);
+    let (world, admin) = World::with_admin(2, |_| Act::Finish);
     let path = world.folder.join(format!("{}.sock", world.listen));
     let ask = |text: &str| {
         let mut stream = UnixStream::connect(&path).expect("a door");
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -348,10 +348,19 @@
         log.read_line(&mut line).expect("a line");
         assert!(line.contains("listening on"), "the node does not come up: {line}");
         let world = World { node, listen, launches, probes, list, watches, entries, config, folder, log };
-        assert_eq!(world.ask("GET /up HTTP/1.1\r\nHost: n\r\n\r\n").status(), 200);
+        assert_eq!(world.ask(UP).status(), 200);
         world
     }
 
+    /// The same with a second address, and that address.
+    pub fn with_admin(backends: usize, acts: fn(usize) -> Act) -> (World, SocketAddr) {
+        let world = World::new(backends, acts, |config| {
+            config["admin"] = second_address(config).to_string().into();
+        });
+        let admin = world.config["admin"].as_str().and_then(|a| a.parse().ok()).expect("an address");
+        (world, admin)
+    }
+
     pub fn connect(&self) -> TcpStream {
         dial(self.listen)
     }
@@ -387,6 +396,8 @@
     }
 }
 
+pub const UP: &str = "GET /up HTTP/1.1\r\nHost: n\r\n\r\n";
+
 pub fn signal(node: &Child, name: &str) {
     let pid = node.id().to_string();
     let _alone = alone();
