Read what waits and busy cores; close by waiting alone there; give a key one place

So the closing, not the room: the node took its reports for none (sighted asked for a count of all held, and these tell queue and util), and closed by the share of the goal time that launches took, which idle backends fill by two fifths here (plan-view, 67 to 120 ms of 300 on cores of 0.59 to 1.5). Ruled out: margin and room (442 of 125,000 looks at an idle backend), the budget, the wait of held commands. Change: where a report counts nothing held, what waits plus how busy the cores are stand for it; there the mean that closes a node is of the time beyond the launch's own work. Harm: where util says busy for another's work the backend is passed over; a key that one node alone draws much of.

--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -1,17 +1,17 @@
-//! How many launches beyond commands' first a node may still make: a count over the last window of time, exact
-//! where it can be, the strict way where it is not. What has been counted is kept in a bounded number of slices.
+//! How many launches beyond commands' first a node may still make: a count over the last window of time, the
+//! strict way where it is not exact. What has been counted is kept in a bounded number of slices.
 
 use crate::terms::Budget;
 use crate::times::{Moment, Span};
 use std::collections::VecDeque;
 
-/// A slice that the window's edge cuts counts for its launches and not for its commands: at most a sixty-fourth
-/// of the commands is lost by it, and no more than twice as many slices are kept at any rate of commands.
+/// A slice that the window's edge cuts counts for its launches and not for its commands: at most one in
+/// sixty-four commands is lost by it, and no more than twice as many slices are kept at any rate.
 const SLICES: u64 = 64;
 
-/// Where none is stated: half of the commands may be launched again, with a store for a lost zone. Only a bound
-/// is meant, over the same four seconds as all that is counted of late.
-const UNSTATED: Budget = Budget { spare: 10.0, ratio: 0.5, window: Span::millis(4000) };
+/// Where none is stated: half of the commands may be launched again, those of twenty seconds in store for a
+/// lost zone. With more to spare at once a fleet that starts dials itself full.
+const UNSTATED: Budget = Budget { spare: 2.0, ratio: 0.5, window: Span::millis(20_000) };
 
 #[derive(Default)]
 pub(crate) struct Allowance {
@@ -41,14 +41,10 @@
         slice
     }
 
-    /// A command has come.
-    pub(crate) fn take(&mut self, now: Moment, stated: Option<Budget>) {
-        self.slice(now, stated).taken += 1;
-    }
-
-    /// A launch beyond a command's first is made.
-    pub(crate) fn spend(&mut self, now: Moment, stated: Option<Budget>) {
-        self.slice(now, stated).further += 1;
+    /// A command has come, or a launch beyond a command's first is made.
+    pub(crate) fn count(&mut self, now: Moment, stated: Option<Budget>, further: bool) {
+        let slice = self.slice(now, stated);
+        *(if further { &mut slice.further } else { &mut slice.taken }) += 1;
     }
 
     /// The launches beyond commands' first that count in the window that ends now, and how many may.
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -41,6 +41,13 @@
 }
 
 impl Backend {
+    /// One of whom nothing is known but its line in the list and its kind's pace.
+    pub(crate) fn fresh(now: Moment, listed: Listed, pace: f64, poured: f64) -> Backend {
+        let (ghost_at, quiet_since, weighed_at, poured_at) = (now, now, now, now);
+        let known = Backend { listed, pace, solo: pace, cap: 1.0, poured, ..Backend::default() };
+        Backend { ghost_at, quiet_since, weighed_at, poured_at, ..known }
+    }
+
     pub(crate) fn ghost_left(&self, now: Moment) -> f64 {
         (self.ghost - now.since(self.ghost_at).micros() / self.pace).max(0.0)
     }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -102,9 +102,8 @@
 /// The share of failed dials from which on only open connections are used.
 const DIALS_FAIL: f64 = 0.15;
 
-/// Places that a key has: a token is found, or the less busy taken, of two. More for each backend's worth of
-/// commands, as their work is about halved where it is known.
-const PLACES: usize = 2;
+/// Places that a key has more for each backend's worth of commands, as their work is about halved where it is
+/// known. While it draws little it has one, or two where nothing tells that one is busy.
 const HOT: f64 = 0.75;
 
 /// So long without a launch a node takes its chance.
@@ -340,18 +339,7 @@
         // filled by a random part of what is lacking, so that their first commands do not come all together.
         let brim = self.part(now, line.started) * self.terms.push_over_span.micros();
         let poured = (self.usual - brim).max(0.0) * self.unit();
-        let fresh = Backend {
-            listed: line,
-            ghost_at: now,
-            quiet_since: now,
-            pace: kind_pace,
-            solo: kind_pace,
-            cap: 1.0,
-            weighed_at: now,
-            poured,
-            poured_at: now,
-            ..Backend::default()
-        };
+        let fresh = Backend::fresh(now, line, kind_pace, poured);
         match self.index.get(&line.backend) {
             None => {
                 self.index.insert(line.backend, self.backends.len());
@@ -380,11 +368,13 @@
                 self.probe_trip += 0.05 * (trip.micros() - self.probe_trip);
             }
         }
-        let held = self.terms.report_held.and_then(|at| values.get(at)).copied();
-        let queued = self.terms.report_queued.and_then(|at| values.get(at)).copied();
-        let Some(held) = held.or(queued) else { return };
-        // Reports carry a little noise: less than half a command is none.
-        let held = f64::from(held.max(queued.unwrap_or(0.0))).round();
+        let value = |at: Option<usize>| at.and_then(|at| values.get(at)).map(|&v| f64::from(v));
+        let queued = value(self.terms.report_queued);
+        // Reports carry a little noise: less than half a command is none. Where they tell of those that wait
+        // alone, how busy the cores are stands for those in work.
+        let busy = value(self.terms.report_busy).map_or(0.0, |busy| busy.min(1.0));
+        let counted = value(self.terms.report_held).map(|held| held.max(queued.unwrap_or(0.0)).round());
+        let Some(held) = counted.or(queued.map(|queued| queued.round() + busy)) else { return };
         if held > 0.0 && trip.is_none() && sighted {
             b.token = None; // it has just been minted by the answer that this came with
         }
@@ -392,7 +382,7 @@
         b.report_at = now;
         // Some twenty reports: a few seconds of a node that sees little, and no single one tells much.
         self.crowd += 0.05 * (b.others - self.crowd);
-        if held == 0.0 && b.in_flight == 0 {
+        if held < 0.1 && b.in_flight == 0 {
             b.ghost = 0.0;
             if b.served && b.listed.state == State::Ready && sighted {
                 b.token = Some(now);
@@ -426,7 +416,9 @@
         self.met_at = now;
         let rate = self.met * std::f64::consts::LN_2 / 4e6;
         let fewest = if self.sighted() { FEWEST * 3 / 2 } else { FEWEST };
-        self.reach = fewest.max((0.5 * rate * TOKEN_EXPIRY.micros()) as usize);
+        // A key's place is the same everywhere only as far as all meet it: as many then as keep a connection.
+        let life = if self.terms.warm_keys { self.terms.conn_idle.max(TOKEN_EXPIRY) } else { TOKEN_EXPIRY };
+        self.reach = fewest.max((0.5 * rate * life.micros()) as usize);
         self.near = usize::MAX;
         if self.dear() {
             // The few that could ask cost more than they gain, and their news is old when the next one comes.
@@ -434,7 +426,7 @@
         } else {
             self.probes = (self.probes + (FOR_PROBES / self.terms.probe_price.max(1e-4)).min(5.0)).min(40.0);
         }
-        self.allowance.take(now, self.terms.budget);
+        self.allowance.count(now, self.terms.budget, false);
         let cost = self.cost(command);
         let mut value = self.profile(command).payoff;
         if !self.terms.payoff_by_work {
@@ -511,10 +503,17 @@
     /// until those are in time again.
     fn sighted(&self) -> bool {
         (self.terms.may_probe || self.terms.reports_come)
-            && self.terms.report_held.is_some()
+            && (self.terms.report_held.is_some()
+                || self.terms.report_busy.is_some() && self.terms.reports_come)
             && self.belied < 0.35
     }
 
+    /// Whether reports tell all commands held: what waits and how busy the cores are tells how full a backend
+    /// is, and not whom a launch will find there.
+    fn counts(&self) -> bool {
+        self.sighted() && self.terms.report_held.is_some()
+    }
+
     /// Whether it can look where it likes: reports that come with answers tell of whom it has just been to.
     fn asks(&self) -> bool {
         !self.terms.reports_come && self.sighted()
@@ -522,7 +521,7 @@
 
     /// Late though sent to an idle backend, as reports had it: that is the command or the backend.
     fn behind(&self, launch: &Launch) -> bool {
-        !self.sighted() || !alone(launch)
+        !self.counts() || !alone(launch)
     }
 
     /// What launches take of their goal time tells how full the fleet is, sooner than the few late ones. It
@@ -537,7 +536,7 @@
 
     /// How much of what happens to backends this node neither does nor sees: nothing for two nodes.
     fn unseen(&self) -> f64 {
-        let nodes = if self.sighted() { 2 } else { self.terms.nodes.max(2) };
+        let nodes = if self.counts() { 2 } else { self.terms.nodes.max(2) };
         1.0 - 2.0 / f64::from(nodes)
     }
 
@@ -679,7 +678,7 @@
                 b.bad < 0.3 && self.allowed(i, command) && self.pour(now, b, cost).is_some()
             }));
         }
-        if self.terms.warm_keys && command.key != 0 && !explore {
+        if self.terms.warm_keys && command.key != 0 && !(explore && self.counts()) {
             self.keep_warm(command, &mut pool, ready.len());
         }
         let mut best = None;
@@ -715,7 +714,8 @@
         let drawn = alike.saturating_sub(1) as f64 / RECENT as f64;
         let at = |i: &usize| &self.backends[*i].listed;
         pool.sort_by_cached_key(|i| portion::key_rank(at(i).mark, at(i).size, command.key));
-        pool.truncate(PLACES + (drawn * HOT * all as f64) as usize);
+        let places = if self.counts() { 2 } else { 1 };
+        pool.truncate(places + (drawn * HOT * all as f64) as usize);
     }
 
     /// Speed in coarse steps, so that like backends stay alike and age decides among their tokens.
@@ -878,7 +878,7 @@
         b.poured_at = now;
         self.launched_at = now;
         if command.launched() > 0 {
-            self.allowance.spend(now, self.terms.budget);
+            self.allowance.count(now, self.terms.budget, true);
         }
         command.add(Launch {
             backend: b.listed.backend,
@@ -1092,7 +1092,12 @@
             return;
         }
         if took < goal {
-            self.heed(now, launch, took / goal);
+            let own = if self.sighted() && !self.counts() {
+                (launch.cost * self.backends[i].pace).min(0.8 * goal)
+            } else {
+                0.0
+            };
+            self.heed(now, launch, (took - own).max(0.0) / (goal - own));
         }
         let b = &mut self.backends[i];
         b.quiet_since = now;
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -27,8 +27,8 @@
     pub payoff: f64,
 }
 
-/// Launches of one node beyond each command's first: in any window at most so many, and a share of the commands
-/// that it took in the same time.
+/// Launches of one node beyond each command's first: in any window at most so many, and a share of the
+/// commands that it took in the same time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Budget {
     pub spare: f64,
@@ -50,6 +50,8 @@
     /// Where a load report holds the commands in flight and those queued.
     pub report_held: Option<usize>,
     pub report_queued: Option<usize>,
+    /// And how busy its cores are.
+    pub report_busy: Option<usize>,
     /// Reports come with answers, not with probes alone.
     pub reports_come: bool,
     pub most_launches: usize,
@@ -200,6 +202,7 @@
             may_probe: flag("mayProbe")?,
             report_held: place("outstanding"),
             report_queued: place("backlog"),
+            report_busy: place("utilization"),
             reports_come,
             most_launches: limits.at("mostLaunches")?.number(1.0, 1e6)? as usize,
             second_copies: flag("secondCopies")?,
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -831,3 +831,81 @@
         }
     }
 }
+
+/// Many nodes at backends that tell with each answer what waits and how busy their cores are, and no more.
+fn half_sighted(t: &mut serde_json::Value) {
+    t["balancers"] = 40.into();
+    t["report"] = json!({"how": "piggyback", "names": ["backlog", "utilization"]});
+    t["familyInfo"] = json!({"warmKeys": true});
+    t["limits"]["connIdle"] = 10_000_000_000u64.into();
+}
+
+/// Thrissur: what waits with those in work stands for all that a backend holds; as nothing was read of it a node
+/// went by its own count, which is nearly always nothing.
+#[test]
+fn what_waits_and_busy_cores_tell_of_others() {
+    for (values, passed_over) in [([3.0, 1.0], true), ([0.0, 0.9], true), ([0.0, 0.0], false)] {
+        let mut hits = 0;
+        for seed in 0..60 {
+            let mut bench = Bench::with(seed, half_sighted);
+            bench.warm_up_costs();
+            bench.list_groups(&[(1, 0), (2, 0)]);
+            bench.node.report(bench.now, BackendId(1), true, None, &values);
+            bench.node.report(bench.now, BackendId(2), true, None, &[0.0, 0.0]);
+            let mut command = bench.command(0);
+            hits += u32::from(bench.place(&mut command) == Say::Launch(BackendId(1)));
+        }
+        assert_eq!(hits < 20, passed_over, "{values:?}: {hits} of 60 went there");
+    }
+}
+
+/// Thrissur's calm day, where one in nine was turned back: work that fills half of its goal time on idle backends
+/// is no sign of a full fleet; the same time spent waiting is.
+#[test]
+fn waiting_closes_a_node_and_work_does_not() {
+    for (waited, closed) in [(0, false), (120, true)] {
+        let mut bench = Bench::with(3, half_sighted);
+        bench.list_groups(&[1, 2, 3, 4, 5, 6, 7, 8].map(|id| (id, 0)));
+        let mut turned_back = 0;
+        for n in 0..120 {
+            let mut command = bench.command(0);
+            match bench.place(&mut command) {
+                Say::Launch(at) => {
+                    bench.finish(&mut command, if n < 40 { 60 } else { 60 + waited });
+                    bench.node.report(bench.now, at, true, None, &[0.0, 0.3]);
+                }
+                _ => turned_back += 1,
+            }
+            bench.later(20);
+        }
+        assert_eq!(turned_back > 10, closed, "{waited} ms waited: {turned_back} turned back");
+    }
+}
+
+/// A key is worth its place only where all nodes send it: nodes that meet different backends of thirty had as many
+/// places for it between them. One that sees too little to keep connections to all stays with its own.
+#[test]
+fn a_key_has_one_place_for_all_nodes_that_can_keep_it() {
+    for (pause, places) in [(20, 1..=1), (2000, 2..=9)] {
+        let mut met = std::collections::BTreeSet::new();
+        for me in 0..10 {
+            let mut bench = Bench::with(me, |t| {
+                half_sighted(t);
+                t["me"] = (me * 4).into();
+            });
+            let lines: Vec<_> = (1..=30).map(|id| (id, 0)).collect();
+            bench.list_groups(&lines);
+            for key in 0..60 {
+                let mut command = bench.command(0);
+                command.key = if key == 59 { 7 } else { 100 + key };
+                let Say::Launch(at) = bench.place(&mut command) else { continue };
+                if key == 59 {
+                    met.insert(at.0);
+                }
+                bench.finish(&mut command, 20);
+                bench.later(pause);
+            }
+        }
+        assert!(places.contains(&met.len()), "a command in {pause} ms: {met:?}");
+    }
+}
