Take the mean of what backends hold from the list where its sizes are live

Branches counted: 954,543 looks at a busy backend that did not fit against 174,748 that did, 8,284 held commands given up, each of which closes the node. What is believed of others' work falls back to the mean of reports, a twentieth a report, and reports come with own answers alone: a node that is shut hears nothing. The list tells live sizes of all every second or so. Change: where the settings say live, each line moves the mean by a hundredth of what it tells: the largest size told over this one, less one and our own. Harm: where sizes follow something else than commands held.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -30,6 +30,8 @@
     /// Commands of others there, by the last report.
     pub(crate) others: f64,
     pub(crate) report_at: Moment,
+    /// The largest size that the list has told.
+    pub(crate) nominal: f64,
     pub(crate) probe_out: Option<Moment>,
     /// The last probe found nobody.
     pub(crate) down: bool,
@@ -44,8 +46,18 @@
     /// One of whom nothing is known but its line in the list and its kind's pace.
     pub(crate) fn fresh(now: Moment, listed: Listed, pace: f64, poured: f64) -> Backend {
         let (ghost_at, quiet_since, weighed_at, poured_at) = (now, now, now, now);
-        let known = Backend { listed, pace, solo: pace, cap: 1.0, poured, ..Backend::default() };
-        Backend { ghost_at, quiet_since, weighed_at, poured_at, ..known }
+        let known =
+            Backend { listed, nominal: listed.size, pace, solo: pace, cap: 1.0, ..Backend::default() };
+        Backend { ghost_at, quiet_since, weighed_at, poured, poured_at, ..known }
+    }
+
+    /// Goes by a new line of the list. A start that the operators told of is not taken back by an older one.
+    /// What others have there for each core, if sizes are live: the largest told over this one, less one and
+    /// ours.
+    pub(crate) fn relist(&mut self, line: Listed) -> f64 {
+        self.listed = Listed { started: self.listed.started, ..line };
+        self.nominal = self.nominal.max(line.size);
+        (self.nominal / line.size.max(1e-3) - 1.0 - f64::from(self.in_flight)).max(0.0)
     }
 
     pub(crate) fn ghost_left(&self, now: Moment) -> f64 {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -58,8 +58,7 @@
     crowd: f64,
     /// The share of failures that half of the backends met have at least.
     common: f64,
-    /// Shares of late: of launches told full, of new connections that failed, of launches lost on those just
-    /// used, and on idle ones.
+    /// Of late: launches told full, dials that failed, launches lost on connections just used, on idle ones.
     fulls: f64,
     dials: f64,
     spoilt: f64,
@@ -88,8 +87,8 @@
 /// launches are to take among many nodes: 0.9 of that with a fifth of the share late (docs/assumptions.md).
 const ACCEPTED: f64 = 0.1;
 const MEAN: f64 = 0.23;
-/// So much more where backends say themselves that they are full, to one launch in forty or more: their queues
-/// are bounded, and so is how far times spread. Half of the accepted share is late at that mean.
+/// So much more where backends say themselves that they are full, to one launch in forty or more: their
+/// queues are bounded, and so is how far times spread. Half of the accepted share is late at that mean.
 const BOUNDED: f64 = 0.4;
 /// Backends probed for a launch: three find an idle one nearly always at two thirds load.
 const ASKED: usize = 3;
@@ -349,9 +348,9 @@
                 let (in_flight, pending) = (self.backends[i].in_flight, self.backends[i].pending);
                 self.backends[i] = Backend { in_flight, pending, ..fresh };
             }
-            // A start that the operators told of is not taken back by an older one.
             Some(&i) => {
-                self.backends[i].listed = Listed { started: self.backends[i].listed.started, ..line };
+                let others = self.backends[i].relist(line);
+                self.crowd += 0.01 * f64::from(self.terms.live_sizes) * (others - self.crowd);
             }
         }
     }
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -54,6 +54,8 @@
     pub report_busy: Option<usize>,
     /// Reports come with answers, not with probes alone.
     pub reports_come: bool,
+    /// The list gives each backend's size over one more than it holds for each core.
+    pub live_sizes: bool,
     pub most_launches: usize,
     /// Whether two launches of a command may be out at a time.
     pub second_copies: bool,
@@ -205,6 +207,7 @@
             report_queued: place("backlog"),
             report_busy: place("utilization"),
             reports_come,
+            live_sizes: top.maybe("weights").is_some_and(|key| key.value.as_str() == Some("live")),
             most_launches: limits.at("mostLaunches")?.number(1.0, 1e6)? as usize,
             second_copies: flag("secondCopies")?,
             cancel: flag("cancel")?,
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -1019,3 +1019,22 @@
         assert_eq!(turned_back > 100, closed, "full once in {full_in}: {turned_back} turned back");
     }
 }
+
+/// Kochi's big days: after a storm a node that sends little hears little, and what it believed of the others' work
+/// kept it shut while backends stood idle. The list with live sizes tells all the same.
+#[test]
+fn live_sizes_tell_what_backends_hold() {
+    for (weights, size, launched) in [("live", 0.1, false), ("live", 1.0, true), ("nominal", 0.1, true)] {
+        let mut bench = Bench::with(8, |t| {
+            t["weights"] = weights.into();
+            t["report"] = json!({"how": "piggyback", "names": ["outstanding"]});
+        });
+        bench.warm_up_costs();
+        bench.list_groups(&[1, 2, 3, 4].map(|id| (id, 0)));
+        for _ in 0..100 {
+            bench.list_sized(&[1, 2, 3, 4].map(|id| (id, 0)), size);
+        }
+        let mut command = bench.command(0);
+        assert_eq!(matches!(bench.place(&mut command), Say::Launch(_)), launched, "{weights} {size}");
+    }
+}
--- a/tests/help/mod.rs
+++ b/tests/help/mod.rs
@@ -50,6 +50,12 @@
         self.node.list(self.now, ListKind::Whole, lines.iter().map(line));
     }
 
+    #[allow(dead_code)]
+    pub fn list_sized(&mut self, lines: &[(u32, u16)], size: f64) {
+        let line = |&(id, group): &(u32, u16)| Listed { size, ..listed(id, group, State::Ready, 0) };
+        self.node.list(self.now, ListKind::Whole, lines.iter().map(line));
+    }
+
     pub fn line(&mut self, kind: ListKind, (id, state, started): (u32, State, u64)) {
         self.node.list(self.now, kind, std::iter::once(listed(id, 1, state, started)));
     }
