--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -263,3 +263,28 @@
     assert!(entries[0]["since_ms"].as_u64() > Some(0) && entries[1]["since_ms"] == 0, "{entries}");
     assert_eq!(world.command("read").status(), 200);
 }
+
+/// Two processes are one node, also for its budget of launches: the new one launches nothing beyond commands' first
+/// while the old one runs and a window after, as the old one may have spent what is spare; then it may.
+#[test]
+fn what_is_spare_is_had_once() {
+    let mut world = World::new(
+        4,
+        |n| if n < 2 { Act::Status(503, "X-Unprocessed: 1\r\n") } else { Act::Finish },
+        |config| {
+            config["admin"] = second_address(config).to_string().into();
+            let rules = &mut config["settings"]["guarantees"];
+            rules["spareAttempts"] = 1.into();
+            rules["repeatRatio"] = 0.into();
+            rules["extraWindow"] = 50_000_000.into();
+        },
+    );
+    let (new, admin) = beside(&world);
+    ready(admin);
+    assert_eq!((world.command("read").status(), world.launched()), (503, 1), "while the old one runs");
+    let mut old = std::mem::replace(&mut world.node, new);
+    signal(&old, "-TERM");
+    assert!(old.wait().expect("an end").success());
+    sleep(Duration::from_millis(200));
+    assert_eq!((world.command("read").status(), world.launched()), (200, 3), "a window after it has ended");
+}
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -424,7 +424,9 @@
 pub fn second_address(config: &Value) -> SocketAddr {
     let _alone = alone();
     let listen = config["listen"].as_str().expect("an address");
-    listener(listen.rsplit_once(':').expect("a port").0).1
+    let own = listen.rsplit_once(':').expect("a port").0;
+    // The place that its clients' is to be is free as well until the node has it.
+    std::iter::repeat_with(|| listener(own).1).find(|at| at.to_string() != listen).expect("another port")
 }
 
 pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
