--- a/src/decide.rs
+++ b/src/decide.rs
@@ -58,7 +58,8 @@
     crowd: f64,
     /// The share of failures that half of the backends met have at least.
     common: f64,
-    /// Of late: launches told full, dials that failed, launches lost on connections just used, on idle ones.
+    /// Shares of late: reports belied, told full, dials failed, lost on connections just used, on idle ones.
+    belied: f64,
     fulls: f64,
     dials: f64,
     spoilt: f64,
@@ -232,8 +233,7 @@
         self.give_up(command)
     }
 
-    /// When a further launch of this command is within the budget. Of its second half only the dear ones get
-    /// something: what could take it is worth more than what asks first.
+    /// When a further launch is within the budget: of its second half only dear commands get any.
     fn granted_at(&self, now: Moment, command: &Command) -> Moment {
         if command.launched() == 0 {
             return now;
@@ -496,11 +496,11 @@
         Say::NotYet
     }
 
-    /// Whether reports show what others do.
+    /// Whether reports show what others do, and launches to those idle by them have not belied them of late.
     fn sighted(&self) -> bool {
-        (self.terms.may_probe || self.terms.reports_come)
-            && (self.terms.report_held.is_some()
-                || self.terms.report_busy.is_some() && self.terms.reports_come)
+        let t = &self.terms;
+        let tells = t.report_held.is_some() || t.report_busy.is_some() && t.reports_come;
+        tells && (t.may_probe || t.reports_come) && self.belied < 0.35
     }
 
     /// Whether reports tell all commands held, and not how full a backend is alone.
@@ -741,18 +741,15 @@
         !sure && b.open > 0 && now.since(b.used_at) < self.terms.conn_idle
     }
 
-    /// A launch was lost, or was not. On a connection just used that tells of answers, or of the backend; on
-    /// those idle for long, where several are lost and else few, of the connection: something drops them.
-    /// Half that time is trusted then, and twice as much after seventy answers, so that it is tried again.
+    /// Where launches on connections idle for long are lost, and few on those just used, something drops idle
+    /// ones: half that time is trusted, and twice as much after seventy answers, so that it is tried again.
     fn tell_lost(&mut self, launch: &Launch, lost: bool) {
-        if lost && self.backends[self.index[&launch.backend]].bad >= 0.3 {
-            return; // one that is gone, or hangs, tells of itself alone
-        }
+        let known = lost && self.backends[self.index[&launch.backend]].bad >= 0.3; // it is gone, or hangs
         let share = if launch.idle < BRIEF { &mut self.spoilt } else { &mut self.idled };
-        *share += 0.2 * (f64::from(lost) - *share);
+        *share += 0.2 * f64::from(!known) * (f64::from(lost) - *share);
         if self.spoilt > 0.5 * IDLED {
             self.lasts = f64::INFINITY; // it is not the connections
-        } else if lost && launch.idle >= BRIEF && self.idled > IDLED + 2.0 * self.spoilt {
+        } else if lost && !known && launch.idle >= BRIEF && self.idled > IDLED + 2.0 * self.spoilt {
             self.lasts = self.lasts.min(0.5 * launch.idle.micros());
         } else if !lost {
             self.lasts *= 1.01;
@@ -1084,6 +1081,9 @@
             self.tell_lost(launch, false);
         }
         let goal = self.profile(command).goal_time.micros();
+        let alone = launch.ahead <= 1.5 * launch.cost && outcome != Outcome::Cancelled;
+        let late = f64::from(took > goal || outcome == Outcome::Full);
+        self.belied += 0.1 * f64::from(alone) * (late - self.belied);
         let b = &self.backends[i];
         // A time-out tells of the backend only if it was silent throughout, and for long: some clients
         // give up within a usual answer's time, and a heavy command takes long anywhere.
