Settle which budget of launches holds in one place

On a last reading: the allowance took what is stated, if anything is, in each of its four calls and settled it there each time. Now Balancer::budget does, and the allowance is told a budget.

--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -11,7 +11,7 @@
 
 /// Where none is stated: half of the commands may be launched again, those of twenty seconds in store for a
 /// lost zone. With more to spare at once a fleet that starts dials itself full.
-const UNSTATED: Budget = Budget { spare: 2.0, ratio: 0.5, window: Span::millis(20_000) };
+pub(crate) const UNSTATED: Budget = Budget { spare: 2.0, ratio: 0.5, window: Span::millis(20_000) };
 
 #[derive(Default)]
 pub(crate) struct Allowance {
@@ -29,8 +29,8 @@
 
 impl Allowance {
     /// A command has come, or a launch beyond a command's first is made.
-    pub(crate) fn count(&mut self, now: Moment, stated: Option<Budget>, further: bool) {
-        let long = Span(stated.unwrap_or(UNSTATED).window.0 / SLICES);
+    pub(crate) fn count(&mut self, now: Moment, budget: Budget, further: bool) {
+        let long = Span(budget.window.0 / SLICES);
         if self.slices.back().is_none_or(|s| now.since(s.first) >= long) {
             self.slices.push_back(Slice { first: now, last: now, taken: 0, further: 0 });
         }
@@ -43,8 +43,7 @@
     }
 
     /// The launches beyond commands' first that count in the window that ends now, and how many may.
-    pub(crate) fn stands(&self, now: Moment, stated: Option<Budget>) -> (f64, f64) {
-        let budget = stated.unwrap_or(UNSTATED);
+    pub(crate) fn stands(&self, now: Moment, budget: Budget) -> (f64, f64) {
         let from = now - budget.window;
         let taken: u32 = self.slices.iter().filter(|s| s.first > from).map(|s| s.taken).sum();
         let further: u32 = self.slices.iter().filter(|s| s.last >= from).map(|s| s.further).sum();
@@ -53,16 +52,14 @@
     }
 
     /// When the first of the launches that count now no longer does.
-    pub(crate) fn eases(&self, now: Moment, stated: Option<Budget>) -> Moment {
-        let window = stated.unwrap_or(UNSTATED).window;
-        let counts = |s: &&Slice| s.further > 0 && s.last >= now - window;
-        self.slices.iter().find(counts).map_or(Moment(u64::MAX), |s| s.last + window + Span(1))
+    pub(crate) fn eases(&self, now: Moment, budget: Budget) -> Moment {
+        let counts = |s: &&Slice| s.further > 0 && s.last >= now - budget.window;
+        self.slices.iter().find(counts).map_or(Moment(u64::MAX), |s| s.last + budget.window + Span(1))
     }
 
     /// Two processes are one node while both run: the later one has nothing spare until the launches that the
     /// other made no longer count. Each has what its own commands bring it.
-    pub(crate) fn beside(&mut self, now: Moment, other: bool, stated: Option<Budget>) {
-        let window = stated.unwrap_or(UNSTATED).window;
-        self.none_spare = if other { Moment(u64::MAX) } else { now + window + Span(1) };
+    pub(crate) fn beside(&mut self, now: Moment, other: bool, budget: Budget) {
+        self.none_spare = if other { Moment(u64::MAX) } else { now + budget.window + Span(1) };
     }
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -2,7 +2,7 @@
 //! `place`, `after`, `wait` say what becomes of a command; facts come in by `list`, `report`, `dropped`, and
 //! what the node wants besides goes out by `errand`. Nothing here blocks, reads a clock or touches a socket.
 
-use crate::allowance::Allowance;
+use crate::allowance::{Allowance, UNSTATED};
 use crate::backend::{Backend, Row};
 use crate::chance::Chance;
 use crate::command::{Bounds, Command, Fate, Held, Launch, Outcome, MOST_LAUNCHES};
@@ -10,7 +10,7 @@
 pub use crate::listed::{ListKind, Listed, State};
 use crate::portion;
 pub use crate::say::{Errand, Say};
-use crate::terms::{Among, Effect, Profile, Terms};
+use crate::terms::{Among, Budget, Effect, Profile, Terms};
 use crate::times::{Moment, Span};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -238,7 +238,7 @@
         if command.launched() == 0 {
             return now;
         }
-        let budget = self.terms.budget;
+        let budget = self.budget();
         let (spent, all) = self.allowance.stands(now, budget);
         let usual = self.recent.iter().map(|r| r.0).sum::<f64>() / RECENT as f64;
         let granted = spent + 1.0 <= all && (spent < 0.5 * all || command.value >= 0.8 * usual);
@@ -249,6 +249,10 @@
         }
     }
 
+    fn budget(&self) -> Budget {
+        self.terms.budget.unwrap_or(UNSTATED)
+    }
+
     /// How long until `place` should be asked again for this command, or `errand` for the node (`None`).
     pub fn wait(&self, now: Moment, command: Option<&Command>) -> Option<Span> {
         let at = command.map_or(self.follow_at, |command| command.look_at);
@@ -328,7 +332,7 @@
 
     /// Another process of this node runs, the one before, or has ended.
     pub fn beside(&mut self, now: Moment, other: bool) {
-        self.allowance.beside(now, other, self.terms.budget);
+        self.allowance.beside(now, other, self.budget());
     }
 
     fn line(&mut self, now: Moment, line: Listed) {
@@ -424,7 +428,7 @@
         } else {
             self.probes = (self.probes + (FOR_PROBES / self.terms.probe_price.max(1e-4)).min(5.0)).min(40.0);
         }
-        self.allowance.count(now, self.terms.budget, false);
+        self.allowance.count(now, self.budget(), false);
         let cost = self.cost(command);
         let each = if self.terms.payoff_by_work { 1.0 } else { cost.max(1.0) };
         let value = self.profile(command).payoff / each;
@@ -889,6 +893,9 @@
         } else {
             now.since(self.backends[i].used_at)
         };
+        if command.launched() > 0 {
+            self.allowance.count(now, self.budget(), true);
+        }
         let b = &mut self.backends[i];
         b.open = if dialled { 0 } else { b.open - 1 };
         (b.token, b.untried) = (None, false);
@@ -898,9 +905,6 @@
         b.poured = level;
         b.poured_at = now;
         self.launched_at = now;
-        if command.launched() > 0 {
-            self.allowance.count(now, self.terms.budget, true);
-        }
         command.add(Launch {
             backend: b.listed.backend,
             zone: b.listed.zone,
