Log what becomes of each call for the list: made, accepted, first known, versions

Between a watch's end and the next message no line told whether the list was called for. Now: the call with the version asked from, its acceptance and the first message with the time each took, what each message says, bytes of an unfinished message, and at the start the asking term.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -36,6 +36,7 @@
 use crate::log::note;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::task::{spawn_local, LocalSet};
 use yarrowfront::decide::{Balancer, Errand};
@@ -81,6 +82,7 @@
     log::allow(limits.notes_per_s);
     let clock = Clock::start();
     let (must_ask, warm_within) = (start.terms.must_ask, start.terms.warm_within);
+    let ask_within = Duration::from_micros(start.terms.ask_within.0);
     let said = (start.terms.full_may_have_run, start.terms.longest_come_back);
     let (errand, mut errands) = mpsc::unbounded_channel();
     let module = Balancer::new(start.terms, start.seed, clock.now());
@@ -159,7 +161,9 @@
     }
     spawn_local(reload.run(asked));
     let (follow, followed) = mpsc::unbounded_channel();
-    if !must_ask {
+    if must_ask {
+        note!("list: discovery is asked; its news counts as known after {} ms", ask_within.as_millis());
+    } else {
         // Where the list comes by itself, on sockets that is a watch from the start.
         let _ = follow.send(());
     }
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -126,6 +126,15 @@
             (false, false) => ListKind::Changes,
         };
         self.index = number(message, "index").unwrap_or(self.index);
+        let count = |state| lines.iter().filter(|(listed, _)| listed.state == state).count();
+        note!(
+            "list: version {} ({}): {} ready, {} draining, {} gone",
+            self.index,
+            if whole { "whole" } else { "changes" },
+            count(State::Ready),
+            count(State::Draining),
+            count(State::Gone)
+        );
         self.desk.keep(self.index, kind != ListKind::Changes, entries);
         self.desk.list(kind, &lines);
         Ok(())
@@ -232,12 +241,15 @@
         *request.uri_mut() = path.parse().map_err(|e| format!("{e}"))?;
         let host = HeaderValue::from_str(&discovery.to_string()).map_err(|e| e.to_string())?;
         request.headers_mut().insert(HOST, host);
-        let mut beat = Instant::now() + self.limits.call_wait;
+        let asked = Instant::now();
+        note!("list: asks {discovery} for what has changed since version {}", self.index);
+        let mut beat = asked + self.limits.call_wait;
         let response = timeout_at(beat, sender.send_request(request)).await;
         let response = response.map_err(|_| "no answer in time")?.map_err(|e| e.to_string())?;
         if response.status() != StatusCode::OK {
             return Err(format!("answered {}", response.status()).into());
         }
+        note!("list: {discovery} accepts the watch after {} ms", asked.elapsed().as_millis());
         let (mut body, mut told, mut first) = (response.into_body(), Told::default(), true);
         loop {
             // A cut network says nothing at all: silence is the only sign.
@@ -249,8 +261,14 @@
             while let Some(message) = told.next() {
                 beat = Instant::now() + self.limits.beat_wait;
                 self.take(message.trim_ascii(), first);
+                if first {
+                    note!("list: version {} is known {} ms after the call", self.index, asked.elapsed().as_millis());
+                }
                 first = false;
             }
+            if !told.bytes.is_empty() {
+                note!("list: {} bytes of a message are here and its end is not", told.bytes.len());
+            }
             if told.bytes.len() > self.limits.line_bytes {
                 return Err("a message is too long".into());
             }
