--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -161,9 +161,7 @@
     }
     spawn_local(reload.run(asked));
     let (follow, followed) = mpsc::unbounded_channel();
-    if must_ask {
-        note!("list: discovery is asked; its news counts as known after {} ms", ask_within.as_millis());
-    } else {
+    if !must_ask {
         // Where the list comes by itself, on sockets that is a watch from the start.
         let _ = follow.send(());
     }
@@ -202,6 +200,9 @@
         spawn_local(sites.clone().run());
     }
     note!("{}: listening on {}", start.name, start.listen);
+    if must_ask {
+        note!("list: discovery is asked; its news counts as known after {} ms", ask_within.as_millis());
+    }
     accept::accept(listener, Rc::new(node::Node { desk, launcher, limits, room, stop, sites })).await;
     if let Some(fleet) = fleet {
         fleet.leave();
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -126,6 +126,15 @@
             (false, false) => ListKind::Changes,
         };
         self.index = number(message, "index").unwrap_or(self.index);
+        if !cached {
+            self.log_message(whole, &lines);
+        }
+        self.desk.keep(self.index, kind != ListKind::Changes, entries);
+        self.desk.list(kind, &lines);
+        Ok(())
+    }
+
+    fn log_message(&self, whole: bool, lines: &[Line]) {
         let count = |state| lines.iter().filter(|(listed, _)| listed.state == state).count();
         note!(
             "list: version {} ({}): {} ready, {} draining, {} gone",
@@ -135,9 +144,6 @@
             count(State::Draining),
             count(State::Gone)
         );
-        self.desk.keep(self.index, kind != ListKind::Changes, entries);
-        self.desk.list(kind, &lines);
-        Ok(())
     }
 
     fn line(&self, entry: &Value) -> Result<Line, String> {
@@ -262,7 +268,11 @@
                 beat = Instant::now() + self.limits.beat_wait;
                 self.take(message.trim_ascii(), first);
                 if first {
-                    note!("list: version {} is known {} ms after the call", self.index, asked.elapsed().as_millis());
+                    note!(
+                        "list: version {} is known {} ms after the call",
+                        self.index,
+                        asked.elapsed().as_millis()
+                    );
                 }
                 first = false;
             }
--- /dev/null
+++ b/crates/node/tests/list_calls.rs
@@ -0,0 +1,198 @@
+//! How soon a node that has lost its watch on the list of backends has the list again.
+//!
+//! Incident: a request went to a draining backend after the grace. Discovery had ended every watch instead of telling of
+//! the drain. The node paused before it called again, for up to a time that grew with the number of nodes and with each
+//! failed call, and its call then waited for its turn; meanwhile it sent by the old list. The log of calls proved it: the
+//! request was sent between the call and its answer, 2.4 s after the watch's end, and the pause had cost the difference.
+
+#[allow(dead_code)]
+mod world;
+
+use rustix::net::sockopt::set_socket_linger;
+use serde_json::{json, Value};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread::{scope, sleep, spawn};
+use std::time::{Duration, Instant};
+use world::*;
+
+/// What a call for the list meets.
+#[derive(Clone, Copy, PartialEq)]
+enum Answers {
+    /// A watch, after this long in the queue.
+    Watch(Duration),
+    /// 503, after this long.
+    Unavailable(Duration),
+}
+
+/// A discovery that is asked, whose answers a test chooses as it goes.
+struct Discovery {
+    at: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+struct State {
+    answers: Answers,
+    list: Value,
+    calls: Vec<Instant>,
+    watches: Vec<TcpStream>,
+}
+
+impl Discovery {
+    fn start(list: Value) -> Discovery {
+        let (listener, at) = listener(&own_address());
+        let answers = Answers::Watch(Duration::ZERO);
+        let state = State { answers, list, calls: Vec::new(), watches: Vec::new() };
+        let discovery = Discovery { at, state: Arc::new(Mutex::new(state)) };
+        let shared = discovery.state.clone();
+        spawn(move || accept(listener, shared));
+        discovery
+    }
+
+    fn with<T>(&self, act: impl FnOnce(&mut State) -> T) -> T {
+        act(&mut self.state.lock().expect("the discovery's state"))
+    }
+
+    fn calls(&self) -> usize {
+        self.with(|state| state.calls.len())
+    }
+
+    /// Ends every watch by a reset, and from now on has this list.
+    fn reset_watches(&self, list: Value) {
+        self.with(|state| {
+            state.list = list;
+            for watch in state.watches.drain(..) {
+                set_socket_linger(&watch, Some(Duration::ZERO)).expect("a reset at the close");
+            }
+        });
+    }
+
+    /// The spans between calls from this one on.
+    fn spans_from(&self, first: usize) -> Vec<Duration> {
+        self.with(|state| state.calls[first..].windows(2).map(|pair| pair[1] - pair[0]).collect())
+    }
+}
+
+fn accept(listener: TcpListener, state: Arc<Mutex<State>>) {
+    for stream in listener.incoming().flatten() {
+        let state = state.clone();
+        spawn(move || answer(stream, &state));
+    }
+}
+
+fn answer(mut stream: TcpStream, state: &Mutex<State>) {
+    if read(&mut stream).is_none() {
+        return;
+    }
+    let answers = {
+        let mut state = state.lock().expect("the discovery's state");
+        state.calls.push(Instant::now());
+        state.answers
+    };
+    match answers {
+        Answers::Unavailable(wait) => {
+            sleep(wait);
+            let _ = stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        }
+        Answers::Watch(wait) => {
+            sleep(wait);
+            watch(stream, state);
+        }
+    }
+}
+
+fn watch(mut stream: TcpStream, state: &Mutex<State>) {
+    let mut state = state.lock().expect("the discovery's state");
+    let message = format!("{}\n", state.list);
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let _ = stream.write_all(format!("{head}{:x}\r\n{message}\r\n", message.len()).as_bytes());
+    state.watches.push(stream);
+}
+
+fn whole_list(index: u64, entries: &[Value]) -> Value {
+    json!({"index": index, "snapshot": true, "endpoints": entries})
+}
+
+/// A node among so many, on a list of two backends, with a watch on a discovery that is asked.
+fn watching_node(nodes: u32) -> (World, Discovery) {
+    let mut world = World::new(2, |_| Act::Finish, |_| {});
+    let discovery = Discovery::start(whole_list(5, &world.entries));
+    let mut config = world.config.clone();
+    config["discovery"] = discovery.at.to_string().into();
+    config["settings"]["balancers"] = nodes.into();
+    assert!(world.reload(&config.to_string()).contains(&discovery.at.to_string()));
+    until("a watch", || discovery.with(|state| !state.watches.is_empty()));
+    (world, discovery)
+}
+
+fn launches_at(world: &World, backend: usize) -> usize {
+    world.launches.lock().expect("launches").iter().filter(|(number, _)| *number == backend).count()
+}
+
+/// A watch that ends may hide a drain, which counts as known two seconds later; then the grace runs.
+#[test]
+fn a_drain_hidden_by_the_end_of_a_watch() {
+    const COUNTS_AS_KNOWN: Duration = Duration::from_secs(2);
+    scope(|all| {
+        for nodes in [2, 6, 44, 300] {
+            all.spawn(move || {
+                let (world, discovery) = watching_node(nodes);
+                discovery.with(|state| state.answers = Answers::Watch(Duration::from_millis(400)));
+                let before = discovery.calls();
+                let ended = Instant::now();
+                discovery.reset_watches(whole_list(6, &world.entries[1..]));
+                until("another call", || discovery.calls() > before);
+                let paused = ended.elapsed();
+                assert!(paused < Duration::from_millis(1000), "{nodes} nodes: {paused:?} before the call");
+                until("the list is known again", || {
+                    let told = launches_at(&world, 0);
+                    (0..12).for_each(|_| assert_eq!(world.command("read").status(), 200));
+                    launches_at(&world, 0) == told
+                });
+                assert!(ended.elapsed() < COUNTS_AS_KNOWN, "{nodes} nodes: {:?}", ended.elapsed());
+            });
+        }
+    });
+}
+
+/// A call that hung before it failed has been its own pause: an outage may have ended in its first moment, and what changed
+/// then counts as known six seconds later.
+#[test]
+fn a_call_that_hung_is_made_again_at_once() {
+    scope(|all| {
+        for nodes in [2, 44, 300] {
+            all.spawn(move || {
+                let (world, discovery) = watching_node(nodes);
+                let hangs = Duration::from_millis(2200);
+                discovery.with(|state| state.answers = Answers::Unavailable(hangs));
+                let first = discovery.calls();
+                discovery.reset_watches(whole_list(6, &world.entries[1..]));
+                until("three calls", || discovery.calls() >= first + 3);
+                for span in discovery.spans_from(first) {
+                    assert!(span < hangs + Duration::from_millis(600), "{nodes} nodes: {span:?}");
+                }
+            });
+        }
+    });
+}
+
+/// Calls that are refused at once are made again soon, however many have been; and not so often that they are a burden.
+#[test]
+fn refused_calls_are_made_again_within_two_seconds() {
+    scope(|all| {
+        for nodes in [2, 44, 300] {
+            all.spawn(move || {
+                let (world, discovery) = watching_node(nodes);
+                discovery.with(|state| state.answers = Answers::Unavailable(Duration::ZERO));
+                let first = discovery.calls();
+                discovery.reset_watches(whole_list(6, &world.entries[1..]));
+                sleep(Duration::from_secs(9));
+                let spans = discovery.spans_from(first);
+                assert!((5..=25).contains(&spans.len()), "{nodes} nodes: {spans:?}");
+                let longest = spans.iter().max().expect("spans");
+                assert!(*longest < Duration::from_millis(2300), "{nodes} nodes: {spans:?}");
+            });
+        }
+    });
+}
