Bound the pause before a call for the list by time, not by the number of nodes

Cause: after the end of a watch, and after each failed call, the pause grew with the number of nodes (0.15 to 0.45 s at six, 1.1 to 3.3 s at 44, up to 7.5 s at 300) and with failures, with no regard to how old the list in use may be. A node that was last in discovery's queue sent to a draining backend between its call and the answer. Class: a retry backoff without a bound by the deadline it serves. Change: src/list_calls.rs decides when to call. After a lost watch at once, spread over 2 ms a node (0.3 s at most); after a refusal 0.25 to 1.3 s from call to call, spread by half; after a call that hung, spread over 25 ms a node (2.5 s at most), as a discovery that is behind may work through calls given up. A hung call is given up after 3.3 s (4.3). First calls are spread over 4 s at most.

--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -58,7 +58,8 @@
     pub backend_idle: Cell<Duration>,
     /// A probe's answer: it comes beside the queue, so in about a trip.
     pub probe_wait: Duration,
-    /// Discovery's answer to a call and its first line: it works through calls in turn.
+    /// Discovery's answer to a call and its first line: it works through calls in turn. News counts as known six seconds
+    /// after discovery had it, and a call that is given up has to be followed by one that is answered.
     pub call_wait: Duration,
     /// A line of the list or a sign of life: a beat of two seconds, and half of one for the way. What a watch misses
     /// counts as told six seconds after it has fallen silent: the rest of that is for the new one.
@@ -172,7 +173,7 @@
             // Whatever the way takes, and however late the node is: half of it is well before.
             backend_idle: Cell::new(idle / 2),
             probe_wait: Duration::from_millis(50),
-            call_wait: Duration::from_millis(4300),
+            call_wait: Duration::from_millis(3300),
             beat_wait: Duration::from_millis(3000),
             accept_on: Duration::from_millis(500),
             idle_on: Duration::from_millis(600),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -7,6 +7,7 @@
 use crate::chance::Chance;
 use crate::command::{Bounds, Command, Fate, Held, Launch, Outcome, MOST_LAUNCHES};
 use crate::ids::{BackendId, Hand, KindId};
+use crate::list_calls::ListCalls;
 pub use crate::listed::{ListKind, Listed, State};
 use crate::portion;
 pub use crate::say::{Errand, Say};
@@ -68,8 +69,7 @@
     lasts: f64,
     probes: f64,
     probe_trip: f64,
-    follow_at: Moment,
-    failures: u32,
+    list_calls: ListCalls,
 }
 
 /// The proposal's expiry and exploring share.
@@ -142,13 +142,10 @@
             margin: 1.6,
             open: 1.0,
             lasts: f64::INFINITY,
-            follow_at: Moment(u64::MAX),
             ..Balancer::default()
         };
         node.fill = MEAN;
-        if node.terms.must_ask {
-            node.follow_at = now + portion::turn(&node.terms).scaled(node.chance.unit());
-        }
+        node.list_calls = ListCalls::at_start(&node.terms, now, &mut node.chance);
         node
     }
 
@@ -254,7 +251,7 @@
 
     /// How long until `place` should be asked again for this command, or `errand` for the node (`None`).
     pub fn wait(&self, now: Moment, command: Option<&Command>) -> Option<Span> {
-        let at = command.map_or(self.follow_at, |command| command.look_at);
+        let at = command.map_or(self.list_calls.next_at(), |command| command.look_at);
         (at < Moment(u64::MAX)).then(|| at.since(now))
     }
 
@@ -266,14 +263,11 @@
 
     pub fn list(&mut self, now: Moment, kind: ListKind, lines: impl Iterator<Item = Listed>) {
         if kind.tells_nothing() {
-            let pause = portion::pause(&self.terms, self.failures, kind == ListKind::Silent);
-            self.failures += 1;
-            self.follow_at = now + pause.scaled(0.5 + self.chance.unit());
+            self.list_calls.ended(now, &self.terms, &mut self.chance);
             return;
         }
         if kind != ListKind::Cached {
-            self.failures = 0;
-            self.follow_at = Moment(u64::MAX);
+            self.list_calls.watch_opened();
         }
         let whole = kind != ListKind::Changes;
         self.backends.iter_mut().filter(|_| whole).for_each(|b| b.listed.state = State::Gone);
@@ -403,9 +397,7 @@
     }
 
     pub fn errand(&mut self, now: Moment) -> Option<Errand> {
-        if self.errands.is_empty() && now >= self.follow_at {
-            // An answer always comes; should it not, ask again within the asking term.
-            self.follow_at = now + Span(self.terms.ask_within.0 / 2);
+        if self.errands.is_empty() && self.list_calls.take_due(now, &self.terms) {
             return Some(Errand::Follow);
         }
         self.errands.pop()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod command;
 pub mod decide;
 pub mod ids;
+mod list_calls;
 pub mod listed;
 mod portion;
 pub mod say;
--- a/src/portion.rs
+++ b/src/portion.rs
@@ -1,11 +1,10 @@
 //! A node's portion of what all nodes share: which of the backends it keeps to, where it can learn of the
-//! others only dearly, and its turn to call for the list.
+//! others only dearly.
 //!
 //! All nodes hold the backends in one order and start in it at places evenly apart: each then has as many
 //! as any other. A node that keeps to few does much of their work itself, and so knows how busy they are.
 
 use crate::terms::Terms;
-use crate::times::Span;
 use std::collections::hash_map::DefaultHasher;
 use std::hash::{BuildHasher, BuildHasherDefault};
 
@@ -16,9 +15,6 @@
 const NODES: f64 = 4.0;
 const FEWEST: f64 = 3.0;
 
-/// Of the list service's time for each node: 100 call as often as it was seen to answer (docs/fleet.md).
-const CALL: Span = Span::millis(50);
-
 /// A backend's place in the order, by what says the same of it at every node.
 pub(crate) fn rank(mark: u64) -> u64 {
     BuildHasherDefault::<DefaultHasher>::default().hash_one(mark)
@@ -41,23 +37,3 @@
     let each = NODES * backends as f64 / f64::from(terms.nodes.max(1));
     (load / SHARE).max(each).max(FEWEST).ceil() as usize
 }
-
-/// Where the list comes by itself nobody else waits for this node's agent, and what that has counts as told.
-const AGENT: Span = Span::millis(60);
-/// News that a silent watch misses counts as told six seconds after its last line at the soonest. Three have
-/// gone until that is known for sure, and a call may take one: half as long again as this is what is left.
-const MISSED: Span = Span::millis(1300);
-
-/// How long to wait, spread by half, for the next call after so many that failed: well in the asking term.
-pub(crate) fn pause(terms: &Terms, failures: u32, silent: bool) -> Span {
-    let turn = turn(terms);
-    let pause = Span(turn.0 << failures.min(5)).min(Span(terms.ask_within.0 / 4)).max(turn);
-    let most = if silent { MISSED } else { pause };
-    pause.min(if terms.must_ask { most } else { AGENT })
-}
-
-/// In which each node calls for the list once. Nodes that start or fail together must not call together: a
-/// list service that is behind works through calls whose callers have given up, and answers nobody in time.
-pub(crate) fn turn(terms: &Terms) -> Span {
-    Span(CALL.0 * u64::from(terms.nodes.max(2))).min(Span(terms.ask_within.0 / 2))
-}
