Add a failing test: a message of discovery's waits for the line end behind it

Loopback sockets: a whole list whose last brace has come is not taken until a line end follows, which may be the next sign of life, two seconds later; what it tells counts as known when it is written.

--- a/crates/node/tests/list_calls.rs
+++ b/crates/node/tests/list_calls.rs
@@ -24,6 +24,8 @@
     Watch(Duration),
     /// 503, after this long.
     Unavailable(Duration),
+    /// A watch whose first message has no line end behind it.
+    WithoutLineEnd,
 }
 
 /// A discovery that is asked, whose answers a test chooses as it goes.
@@ -97,14 +99,15 @@
         }
         Answers::Watch(wait) => {
             sleep(wait);
-            watch(stream, state);
+            watch(stream, state, "\n");
         }
+        Answers::WithoutLineEnd => watch(stream, state, ""),
     }
 }
 
-fn watch(mut stream: TcpStream, state: &Mutex<State>) {
+fn watch(mut stream: TcpStream, state: &Mutex<State>, end: &str) {
     let mut state = state.lock().expect("the discovery's state");
-    let message = format!("{}\n", state.list);
+    let message = format!("{}{end}", state.list);
     let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     let _ = stream.write_all(format!("{head}{:x}\r\n{message}\r\n", message.len()).as_bytes());
     state.watches.push(stream);
@@ -196,3 +199,18 @@
         }
     });
 }
+
+/// A message is whole with its last brace: its line end may come with the next sign of life, two seconds later.
+#[test]
+fn a_message_whose_line_end_is_late() {
+    let (world, discovery) = watching_node(2);
+    discovery.with(|state| state.answers = Answers::WithoutLineEnd);
+    let ended = Instant::now();
+    discovery.reset_watches(whole_list(6, &world.entries[1..]));
+    until("the list is known again", || {
+        let told = launches_at(&world, 0);
+        (0..12).for_each(|_| assert_eq!(world.command("read").status(), 200));
+        launches_at(&world, 0) == told
+    });
+    assert!(ended.elapsed() < Duration::from_secs(2), "{:?}", ended.elapsed());
+}
