Make the tests of list calls wait for the list itself, so that the last one bites

All four now wait until a name of the new list is known at the second address and then look at the launches.

--- a/crates/node/tests/list_calls.rs
+++ b/crates/node/tests/list_calls.rs
@@ -117,9 +117,25 @@
     json!({"index": index, "snapshot": true, "endpoints": entries})
 }
 
+/// A list that leaves the first backend out and names one that was never there.
+fn without_the_first(world: &World) -> Value {
+    whole_list(6, &[world.entries[1].clone(), json!({"name": NEW, "status": "gone"})])
+}
+
+const NEW: &str = "new";
+
+/// Waits until the node has that list, and sees that it goes by it.
+fn until_known(world: &World) {
+    let known = format!("PUT /backends/{NEW}/ready");
+    until("the list is known", || call(world.admin(), &known).status() == 200);
+    let before = launches_at(world, 0);
+    (0..8).for_each(|_| assert_eq!(world.command("read").status(), 200));
+    assert_eq!(launches_at(world, 0), before);
+}
+
 /// A node among so many, on a list of two backends, with a watch on a discovery that is asked.
 fn watching_node(nodes: u32) -> (World, Discovery) {
-    let mut world = World::new(2, |_| Act::Finish, |_| {});
+    let (mut world, _) = World::with_admin(2, |_| Act::Finish);
     let discovery = Discovery::start(whole_list(5, &world.entries));
     let mut config = world.config.clone();
     config["discovery"] = discovery.at.to_string().into();
@@ -144,15 +160,11 @@
                 discovery.with(|state| state.answers = Answers::Watch(Duration::from_millis(400)));
                 let before = discovery.calls();
                 let ended = Instant::now();
-                discovery.reset_watches(whole_list(6, &world.entries[1..]));
+                discovery.reset_watches(without_the_first(&world));
                 until("another call", || discovery.calls() > before);
                 let paused = ended.elapsed();
                 assert!(paused < Duration::from_millis(1000), "{nodes} nodes: {paused:?} before the call");
-                until("the list is known again", || {
-                    let told = launches_at(&world, 0);
-                    (0..12).for_each(|_| assert_eq!(world.command("read").status(), 200));
-                    launches_at(&world, 0) == told
-                });
+                until_known(&world);
                 assert!(ended.elapsed() < COUNTS_AS_KNOWN, "{nodes} nodes: {:?}", ended.elapsed());
             });
         }
@@ -170,7 +182,7 @@
                 let hangs = Duration::from_millis(2200);
                 discovery.with(|state| state.answers = Answers::Unavailable(hangs));
                 let first = discovery.calls();
-                discovery.reset_watches(whole_list(6, &world.entries[1..]));
+                discovery.reset_watches(without_the_first(&world));
                 until("three calls", || discovery.calls() >= first + 3);
                 for span in discovery.spans_from(first) {
                     assert!(span < hangs + Duration::from_millis(most), "{nodes} nodes: {span:?}");
@@ -189,7 +201,7 @@
                 let (world, discovery) = watching_node(nodes);
                 discovery.with(|state| state.answers = Answers::Unavailable(Duration::ZERO));
                 let first = discovery.calls();
-                discovery.reset_watches(whole_list(6, &world.entries[1..]));
+                discovery.reset_watches(without_the_first(&world));
                 sleep(Duration::from_secs(9));
                 let spans = discovery.spans_from(first);
                 assert!((5..=25).contains(&spans.len()), "{nodes} nodes: {spans:?}");
@@ -206,11 +218,7 @@
     let (world, discovery) = watching_node(2);
     discovery.with(|state| state.answers = Answers::WithoutLineEnd);
     let ended = Instant::now();
-    discovery.reset_watches(whole_list(6, &world.entries[1..]));
-    until("the list is known again", || {
-        let told = launches_at(&world, 0);
-        (0..12).for_each(|_| assert_eq!(world.command("read").status(), 200));
-        launches_at(&world, 0) == told
-    });
+    discovery.reset_watches(without_the_first(&world));
+    until_known(&world);
     assert!(ended.elapsed() < Duration::from_secs(2), "{:?}", ended.elapsed());
 }
