Take a message of discovery's with its last brace, not with the line end behind it

Cause: the reader of a watch gave out a message only when a line end had come behind it. Change: crates/node/src/message_reader.rs, out of list.rs, ends a message where its braces do; the line end behind it is skipped and is no sign of life. The reader's unit test compares what the taker sees, trimmed of white space as it trims, and has one more case.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 mod limits;
 mod list;
 mod log;
+mod message_reader;
 mod names;
 mod node;
 mod pool;
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -3,6 +3,7 @@
 use crate::desk::{Desk, Line};
 use crate::limits::Limits;
 use crate::log::note;
+use crate::message_reader::MessageReader;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::client::conn::http1;
@@ -21,52 +22,6 @@
 use yarrowfront::ids::{GroupId, KindId, ZoneId};
 use yarrowfront::times::Moment;
 
-/// What comes on a watch, until it makes a message: a line, or more of them where the message goes on over their ends,
-/// as an indented one does. Of what makes none, no more is lost than that.
-#[derive(Default)]
-struct Told {
-    bytes: Vec<u8>,
-    /// How far they have been looked at, the last that was no space, and how deep it stands.
-    seen: usize,
-    last: u8,
-    depth: usize,
-    quoted: bool,
-    escaped: bool,
-}
-
-impl Told {
-    fn push(&mut self, bytes: &[u8]) {
-        self.bytes.extend_from_slice(bytes);
-    }
-
-    /// The next line or message that is here whole.
-    fn next(&mut self) -> Option<Vec<u8>> {
-        while let Some(&byte) = self.bytes.get(self.seen) {
-            let begins = self.depth > 0 && byte == b'{' && !b"[,:{".contains(&self.last);
-            // No text goes over the end of a line, and no object follows a word: what was there broke off.
-            if byte == b'\n' && (self.depth == 0 || self.quoted) || begins && !self.quoted {
-                let end = self.seen + usize::from(byte == b'\n');
-                let message = self.bytes.drain(..end).collect();
-                *self = Told { bytes: std::mem::take(&mut self.bytes), ..Told::default() };
-                return Some(message);
-            }
-            match byte {
-                _ if self.escaped => self.escaped = false,
-                b'\\' if self.quoted => self.escaped = true,
-                b'"' => self.quoted = !self.quoted,
-                b'{' | b'[' if !self.quoted => self.depth += 1,
-                b'}' | b']' if !self.quoted => self.depth = self.depth.saturating_sub(1),
-                _ => {}
-            }
-            if !byte.is_ascii_whitespace() {
-                self.last = byte;
-            }
-            self.seen += 1;
-        }
-        None
-    }
-}
-
 /// How a watch ends.
 enum End {
     /// No line has come for longer than its beats are apart: whatever it may still miss is news.
@@ -256,15 +211,15 @@
             return Err(format!("answered {}", response.status()).into());
         }
         note!("list: {discovery} accepts the watch after {} ms", asked.elapsed().as_millis());
-        let (mut body, mut told, mut first) = (response.into_body(), Told::default(), true);
+        let (mut body, mut reader, mut first) = (response.into_body(), MessageReader::default(), true);
         loop {
             // A cut network says nothing at all: silence is the only sign.
             let frame = timeout_at(beat, body.frame()).await;
             let frame = frame.map_err(|_| if first { "no line in time".into() } else { End::Silent })?;
             let frame = frame.ok_or("closed by discovery")?.map_err(|e| e.to_string())?;
-            told.push(frame.data_ref().map_or(&[][..], |d| d));
+            reader.push(frame.data_ref().map_or(&[][..], |d| d));
             // Part of a message proves nothing: whoever is cut off in it has fallen silent.
-            while let Some(message) = told.next() {
+            while let Some(message) = reader.next() {
                 beat = Instant::now() + self.limits.beat_wait;
                 self.take(message.trim_ascii(), first);
                 if first {
@@ -276,10 +231,10 @@
                 }
                 first = false;
             }
-            if !told.bytes.is_empty() {
-                note!("list: {} bytes of a message are here and its end is not", told.bytes.len());
+            if reader.unfinished() > 0 {
+                note!("list: {} bytes of a message are here and its end is not", reader.unfinished());
             }
-            if told.bytes.len() > self.limits.line_bytes {
+            if reader.unfinished() > self.limits.line_bytes {
                 return Err("a message is too long".into());
             }
         }
@@ -303,37 +258,7 @@
 
 #[cfg(test)]
 mod tests {
-    use super::{mark, Told};
-
-    /// Messages in one line or in many, cut anywhere, between beats and behind what is none: each is taken as it stands.
-    #[test]
-    fn messages_in_lines_and_over_lines() {
-        let one = "{\"a\":[{\"b\":\"}\\\"{\"}]}\n";
-        let many = "{\n  \"a\": [\n    {\n      \"b\": 1\n    },\n    {\"b\": 2}\n  ]\n}\n";
-        let flat = "{\n\"a\": [\n{\n\"b\": 1\n},\n{\n\"b\": 2\n}\n]\n}\n";
-        let cases: [&[&str]; 6] = [
-            &[one, "\n", many, flat, "\n", one],
-            &["not JSON\n", one, many],
-            &["[1,2]\n", "}\n", many],
-            // Broken off in a text and in a word.
-            &["{\"a\": \"b\n", one, "\n", many],
-            &["{\"a\": tru\n", many, one],
-            &["{\"a\": 1\n", one, many],
-        ];
-        for parts in cases {
-            let text = parts.concat();
-            for cut in 0..text.len() {
-                let (first, rest) = text.as_bytes().split_at(cut);
-                let (mut told, mut found) = (Told::default(), Vec::new());
-                for part in [first, rest] {
-                    told.push(part);
-                    found.extend(std::iter::from_fn(|| told.next()));
-                }
-                let found: Vec<_> = found.iter().map(|m| String::from_utf8_lossy(m)).collect();
-                assert_eq!(found, parts, "{text:?} at {cut}");
-            }
-        }
-    }
+    use super::mark;
 
     /// All nodes, of older builds too, must hold the backends in one order: by numbers given out as names come
     /// in, or by a hasher with a key of its own, each would have another.
--- /dev/null
+++ b/crates/node/src/message_reader.rs
@@ -0,0 +1,137 @@
+//! Cuts the bytes of a watch into messages of discovery's, which may stand over several lines and come in pieces.
+
+/// What has come on a watch and is no whole message yet.
+#[derive(Default)]
+pub struct MessageReader {
+    bytes: Vec<u8>,
+    /// How far they have been looked at, the last that was no space, and how deep in braces and brackets that is.
+    seen: usize,
+    last: u8,
+    depth: usize,
+    quoted: bool,
+    escaped: bool,
+    /// The line end behind the last message is still to come, and says nothing.
+    line_end_due: bool,
+}
+
+impl MessageReader {
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// How many bytes wait for the rest of their message.
+    pub fn unfinished(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// The next message that is here whole, or line that is none; an empty one is a sign of life. Of what makes no
+    /// message no more is lost than that.
+    pub fn next(&mut self) -> Option<Vec<u8>> {
+        self.skip_line_end();
+        while let Some(&byte) = self.bytes.get(self.seen) {
+            if self.breaks_off_before(byte) {
+                return Some(self.cut(self.seen, false));
+            }
+            // No text goes over the end of a line.
+            if byte == b'\n' && (self.depth == 0 || self.quoted) {
+                return Some(self.cut(self.seen + 1, false));
+            }
+            let outside = self.depth == 0;
+            self.look_at(byte);
+            if !outside && self.depth == 0 {
+                // Whole with its last brace: the line end may come much later.
+                return Some(self.cut(self.seen, true));
+            }
+        }
+        None
+    }
+
+    /// No object follows a word: what was there broke off.
+    fn breaks_off_before(&self, byte: u8) -> bool {
+        self.depth > 0 && !self.quoted && byte == b'{' && !b"[,:{".contains(&self.last)
+    }
+
+    fn look_at(&mut self, byte: u8) {
+        match byte {
+            _ if self.escaped => self.escaped = false,
+            b'\\' if self.quoted => self.escaped = true,
+            b'"' => self.quoted = !self.quoted,
+            b'{' | b'[' if !self.quoted => self.depth += 1,
+            b'}' | b']' if !self.quoted => self.depth = self.depth.saturating_sub(1),
+            _ => {}
+        }
+        if !byte.is_ascii_whitespace() {
+            self.last = byte;
+        }
+        self.seen += 1;
+    }
+
+    fn cut(&mut self, end: usize, line_end_due: bool) -> Vec<u8> {
+        let message = self.bytes.drain(..end).collect();
+        let bytes = std::mem::take(&mut self.bytes);
+        *self = MessageReader { bytes, line_end_due, ..MessageReader::default() };
+        message
+    }
+
+    fn skip_line_end(&mut self) {
+        if !self.line_end_due {
+            return;
+        }
+        let is_space = |byte: &u8| byte.is_ascii_whitespace() && *byte != b'\n';
+        let mut end = self.bytes.iter().take_while(|&byte| is_space(byte)).count();
+        if let Some(&next) = self.bytes.get(end) {
+            self.line_end_due = false;
+            end += usize::from(next == b'\n');
+        }
+        self.bytes.drain(..end);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::MessageReader;
+
+    fn read(parts: &[&[u8]]) -> Vec<String> {
+        let (mut reader, mut found) = (MessageReader::default(), Vec::new());
+        for part in parts {
+            reader.push(part);
+            found.extend(std::iter::from_fn(|| reader.next()));
+        }
+        found.iter().map(|message| String::from_utf8_lossy(message.trim_ascii()).into_owned()).collect()
+    }
+
+    /// Messages in one line or in many, cut anywhere, between beats and behind what is none: each is taken as it stands.
+    #[test]
+    fn messages_in_lines_and_over_lines() {
+        let one = "{\"a\":[{\"b\":\"}\\\"{\"}]}\n";
+        let many = "{\n  \"a\": [\n    {\n      \"b\": 1\n    },\n    {\"b\": 2}\n  ]\n}\n";
+        let flat = "{\n\"a\": [\n{\n\"b\": 1\n},\n{\n\"b\": 2\n}\n]\n}\n";
+        let cases: [&[&str]; 7] = [
+            &[one, "\n", many, flat, "\n", one],
+            &["not JSON\n", one, many],
+            &["[1,2]\n", "}\n", many],
+            // Broken off in a text and in a word.
+            &["{\"a\": \"b\n", one, "\n", many],
+            &["{\"a\": tru\n", many, one],
+            &["{\"a\": 1\n", one, many],
+            &["{\"a\": 1} \r\n", "\r\n", one],
+        ];
+        for parts in cases {
+            let text = parts.concat();
+            let wanted: Vec<_> = parts.iter().map(|part| part.trim_ascii()).collect();
+            for cut in 0..text.len() {
+                let (first, rest) = text.as_bytes().split_at(cut);
+                assert_eq!(read(&[first, rest]), wanted, "{text:?} at {cut}");
+            }
+        }
+    }
+
+    /// A message is there with its last brace, whatever comes behind it and when; its line end is no sign of life.
+    #[test]
+    fn a_message_before_its_line_end() {
+        let message = "{\"a\": 1}";
+        assert_eq!(read(&[message.as_bytes()]), [message]);
+        assert_eq!(read(&[message.as_bytes(), b"\n", b"\n"]), [message, ""]);
+        assert_eq!(read(&[message.as_bytes(), message.as_bytes()]), [message, message]);
+    }
+}
