Add failing tests: short reads, dials without a port, a stop before the kill

Found while checking related paths, by reading and by a library that is loaded into the node for tests alone (crates/node/tests/shims). Loopback sockets: with one in four socket reads and writes ended short commands on kept connections get 408 after 2 s; with one in two dials failing for want of a port commands are turned back; with a time limit of 12 s a command at a backend that hangs has no answer 3.7 s after SIGTERM.

--- a/crates/node/tests/endings.rs
+++ b/crates/node/tests/endings.rs
@@ -511,6 +511,37 @@
     }
 }
 
+/// The kill comes 3.7 s after the signal to stop at the latest, however long time limits are: by then whatever is in hand at
+/// a backend that hangs has its answer, and so has what came on an open connection after the signal.
+#[test]
+fn a_stop_answers_before_the_kill() {
+    const KILL: Duration = Duration::from_millis(3700);
+    let mut world = World::new(4, |_| Act::Text(""), patient);
+    let mut early = ["read", "mark", "pay"].map(|profile| (profile, world.connect()));
+    for (profile, stream) in &mut early {
+        stream.write_all(asks(profile, "held").as_bytes()).expect("written");
+    }
+    let mut kept = world.connect();
+    kept.write_all(UP.as_bytes()).expect("written");
+    assert_eq!(read(&mut kept).unwrap_or_default().status(), 200);
+    until("all are at the backend", || world.launched() == early.len());
+    let told = Instant::now();
+    world.signal("-TERM");
+    kept.write_all(asks("pay", "after the signal").as_bytes()).expect("written");
+    for (what, stream) in early.iter_mut().map(|(what, stream)| (*what, stream)).chain([("kept", &mut kept)])
+    {
+        let reply = read(stream).unwrap_or_default();
+        let wanted: &[u16] = if what == "read" { &[502, 503] } else { &[502] };
+        assert!(
+            wanted.contains(&reply.status()) || what == "kept" && reply.status() == 503,
+            "{what}: {reply:?}"
+        );
+        assert!(told.elapsed() < KILL, "{what}: answered after {:?}", told.elapsed());
+    }
+    assert!(world.node.wait().expect("an end").success());
+    assert!(told.elapsed() < KILL, "ended after {:?}", told.elapsed());
+}
+
 /// Answers that come twice, the second some milliseconds late: once one has been seen, on an idle connection, none finishes
 /// the command behind it, which goes on another connection. Before, that got the first one's answer again.
 #[test]
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -438,7 +438,7 @@
     for (key, change) in cases {
         let mut config = good.clone();
         change(&mut config);
-        let (child, folder) = start(&config);
+        let (child, folder) = start(&config, &[]);
         let output = child.wait_with_output().expect("an end");
         let _ = std::fs::remove_dir_all(folder);
         let text = String::from_utf8_lossy(&output.stderr);
--- /dev/null
+++ b/crates/node/tests/system_calls.rs
@@ -0,0 +1,88 @@
+//! System calls that fail or end short, as Linux documents them: what a node is owed by its sockets is less than what
+//! loopback usually gives.
+
+#[allow(dead_code)]
+mod world;
+
+use serde_json::Value;
+use std::io::Write;
+use std::thread::scope;
+use std::time::{Duration, Instant};
+use world::*;
+
+const CLIENTS: usize = 3;
+const COMMANDS: usize = 60;
+/// An answer takes some milliseconds; one that comes later has lain somewhere.
+const PROMPT: Duration = Duration::from_millis(1000);
+
+fn shimmed(variables: &[(&str, &str)], backends: usize) -> World {
+    let library = shim::library().to_str().expect("a path in UTF-8");
+    let mut all = vec![("LD_PRELOAD", library)];
+    all.extend_from_slice(variables);
+    World::with_variables(backends, |_| Act::Finish, patient, &all)
+}
+
+fn patient(config: &mut Value) {
+    for profile in config["settings"]["profiles"].as_array_mut().expect("profiles") {
+        profile["goalTime"] = 4_000_000_000u64.into();
+        profile["timeLimit"] = 5_000_000_000u64.into();
+    }
+}
+
+fn asks(profile: &str) -> String {
+    command(profile, &"body ".repeat(40), "").replace("X-Time-Left-Ms: 480", "X-Time-Left-Ms: 5000")
+}
+
+/// Several clients ask on kept connections; what was not answered by 200 in time.
+fn failures(world: &World, profile: &str) -> Vec<String> {
+    let client = || {
+        let mut stream = world.connect();
+        let mut failed = Vec::new();
+        for n in 0..COMMANDS {
+            let since = Instant::now();
+            stream.write_all(asks(profile).as_bytes()).expect("written");
+            let answer = read(&mut stream);
+            let status = answer.as_ref().map_or(0, Message::status);
+            if status != 200 || since.elapsed() > PROMPT {
+                failed.push(format!("command {n}: {status} after {:?}", since.elapsed()));
+            }
+            if answer.is_none_or(|answer| answer.header("connection") == Some("close")) {
+                stream = world.connect();
+            }
+        }
+        failed
+    };
+    scope(|all| {
+        let clients: Vec<_> = (0..CLIENTS).map(|_| all.spawn(client)).collect();
+        clients.into_iter().flat_map(|client| client.join().expect("a client")).collect()
+    })
+}
+
+/// A read or write that moves less than it could leaves the rest in the kernel, and no further event tells of it.
+#[test]
+fn reads_and_writes_that_end_short() {
+    for variables in [[("SHIM_SHORT", "4")], [("SHIM_INTERRUPT", "4")]] {
+        let world = shimmed(&variables, 4);
+        for profile in ["read", "pay"] {
+            assert_eq!(failures(&world, profile), [""; 0], "{variables:?}, {profile}");
+        }
+    }
+}
+
+/// An accept that fails for a moment loses nobody.
+#[test]
+fn accepts_that_fail_for_a_moment() {
+    let world = shimmed(&[("SHIM_ACCEPT", "2")], 2);
+    for _ in 0..40 {
+        let since = Instant::now();
+        assert_eq!(world.ask(&asks("pay")).status(), 200);
+        assert!(since.elapsed() < PROMPT);
+    }
+}
+
+/// A dial that fails for want of a local port says nothing of the backend, and nothing of the command has run.
+#[test]
+fn dials_that_fail_for_want_of_a_port() {
+    let world = shimmed(&[("SHIM_CONNECT", "2")], 4);
+    assert_eq!(failures(&world, "pay"), [""; 0]);
+}
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -2,6 +2,7 @@
 
 #[path = "../../../../tests/help/mod.rs"]
 mod help;
+pub mod shim;
 
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -289,12 +290,12 @@
     settings
 }
 
-pub fn start(config: &Value) -> (Child, PathBuf) {
+pub fn start(config: &Value, variables: &[(&str, &str)]) -> (Child, PathBuf) {
     let folder = std::env::temp_dir().join(format!("yarrowfront-test-{}", own_address()));
     std::fs::create_dir_all(&folder).expect("a folder");
     let file = folder.join("config.json");
     std::fs::write(&file, config.to_string()).expect("a file");
-    (start_in(&folder, &file, &[]), folder)
+    (start_in(&folder, &file, variables), folder)
 }
 
 /// Starts a process that has begun to read its start, and reads until that is let go.
@@ -379,6 +380,16 @@
 impl World {
     /// So many backends, which act by the number of the launch over all of them.
     pub fn new(backends: usize, acts: fn(usize) -> Act, change: fn(&mut Value)) -> World {
+        World::with_variables(backends, acts, change, &[])
+    }
+
+    /// The same with variables in the node's environment.
+    pub fn with_variables(
+        backends: usize,
+        acts: fn(usize) -> Act,
+        change: fn(&mut Value),
+        variables: &[(&str, &str)],
+    ) -> World {
         let (launches, own): (Launches, String) = (Arc::default(), own_address());
         let probes: Arc<Mutex<Vec<Message>>> = Arc::default();
         let mut entries = Vec::new();
@@ -397,7 +408,7 @@
             "known": {"index": 4, "snapshot": true, "endpoints": entries}, "settings": settings(),
         });
         change(&mut config);
-        let (mut node, folder) = start(&config);
+        let (mut node, folder) = start(&config, variables);
         let mut log = BufReader::new(node.stderr.take().expect("a log"));
         let mut line = String::new();
         log.read_line(&mut line).expect("a line");
--- /dev/null
+++ b/crates/node/tests/world/shim.rs
@@ -0,0 +1,19 @@
+//! A library that is loaded into a node and has its system calls fail or end short.
+
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::OnceLock;
+
+/// The library, built once for each test program.
+pub fn library() -> &'static Path {
+    static BUILT: OnceLock<PathBuf> = OnceLock::new();
+    BUILT.get_or_init(|| {
+        let source = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/shims/system_calls.c");
+        let library = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("shim-{}.so", std::process::id()));
+        let mut compiler = Command::new("cc");
+        compiler.args(["-shared", "-fPIC", "-O1", "-Wall", "-o"]).arg(&library).arg(source).arg("-ldl");
+        let built = compiler.status().expect("a C compiler");
+        assert!(built.success(), "the shim does not build");
+        library
+    })
+}
