Answer whatever is in hand before the kill, however long time limits are

Cause: a stop waited for the longest time limit, without a bound; the kill comes 3.7 s after the signal at the latest, so with limits past 3 s a command at a backend that hangs was lost. Class: a deadline taken from the work instead of from who ends it. Change: 0.55 s after the longest limit (3 s at most) what is in hand is given up by the module's word: turned back where that is harmless, errored otherwise; the process ends 0.1 s later.

--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -199,6 +199,11 @@
         self.ask(|inner, now| inner.module.place(now, hand, &mut inner.hands[hand.0 as usize].command))
     }
 
+    /// This command is to have its end now: what may be said, as it may have run or not.
+    pub fn give_up(&self, hand: Hand) -> Say {
+        self.ask(|inner, _| inner.module.give_up(&mut inner.hands[hand.0 as usize].command))
+    }
+
     /// A launch of this command has ended; `spent` if it cannot be sent again.
     pub fn after(&self, hand: Hand, done: &Done, spent: bool) -> Say {
         if let Some(counts) = &self.counts {
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -67,7 +67,9 @@
     /// How long after the signal to stop connections are still accepted, and idle ones left open.
     pub accept_on: Duration,
     pub idle_on: Duration,
-    /// When the node ends even if a client still owes the rest of a command.
+    /// When whatever is in hand is answered after the signal to stop, and when the node ends even if a client still owes
+    /// the rest of a command.
+    pub answer_by: Cell<Duration>,
     pub end_by: Cell<Duration>,
     /// How long the kernel's last connections are looked for.
     pub last_look: Duration,
@@ -97,6 +99,9 @@
 const OPERATORS: usize = 24;
 const _: () = assert!(OWN + OPERATORS <= KEPT_BACK);
 
+/// After the signal to stop the kill comes 700 ms after the longest time limit at the soonest, or after this if that is longer.
+const KILL_WAITS_FOR: Duration = Duration::from_secs(3);
+
 /// The least that a node can serve with: eight commands at a time, and their windows.
 const LEAST_SOCKETS: usize = KEPT_BACK + 16;
 const LEAST_MEMORY_MB: usize = 8;
@@ -177,8 +182,8 @@
             beat_wait: Duration::from_millis(3000),
             accept_on: Duration::from_millis(500),
             idle_on: Duration::from_millis(600),
-            // A kill comes 700 ms after the longest time limit at the soonest.
-            end_by: Cell::new(Duration::from_millis(650) + limit),
+            answer_by: Cell::new(KILL_WAITS_FOR.min(limit) + Duration::from_millis(550)),
+            end_by: Cell::new(KILL_WAITS_FOR.min(limit) + Duration::from_millis(650)),
             last_look: Duration::from_millis(20),
             settle: Duration::from_millis(100),
             // Whoever sends nothing of use is told so, or is gone, within three seconds of coming.
@@ -217,6 +222,7 @@
         self.dial.set(other.dial.get());
         self.backend_idle.set(other.backend_idle.get());
         // A command in hand may still have the longer one.
+        self.answer_by.set(self.answer_by.get().max(other.answer_by.get()));
         self.end_by.set(self.end_by.get().max(other.end_by.get()));
     }
 }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -153,6 +153,8 @@
                 held.over(End::TurnedBack);
                 return turn_back(Span(0));
             }
+            // Not even an answer of the backend's would reach its client before the kill.
+            () = node.stop.past(node.limits.answer_by.get()), if !flows => desk.give_up(hand),
             () = again.notified(), if !flows => desk.place(hand),
             () = sleep(wait.unwrap_or_default()), if wait.is_some() && !flows => desk.place(hand),
         };
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1042,7 +1042,8 @@
         }
     }
 
-    fn give_up(&mut self, command: &mut Command) -> Say {
+    /// Ends a command without an answer of a backend's: turned back where that is harmless.
+    pub fn give_up(&mut self, command: &mut Command) -> Say {
         self.unhold(command);
         command.closed = true;
         command.look_at = Moment(u64::MAX);
