Read and write sockets until the kernel has no more; wait out local faults of a dial

Cause: tokio takes a read or write that moved less than it could as the last and waits for an event that does not come; bytes lay in the kernel until the connection ended. And a dial that failed for want of a port or descriptor was held against the backend. Left: the hand-over's Unix socket reads as before. CPU a command not measured yet.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -5,6 +5,7 @@
 use crate::lengths::Followed;
 use crate::log::note;
 use crate::node::Node;
+use crate::transport::Transport;
 use crate::watched::Watched;
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -110,9 +111,7 @@
 }
 
 fn welcome(stream: TcpStream, guests: &Rc<Guests>, node: &Rc<Node>) {
-    if let Err(error) = stream.set_nodelay(true) {
-        note!("accept: {error}");
-    }
+    let stream = Transport::new(stream);
     let limits = &node.limits;
     if guests.here.borrow().len() >= limits.client_sockets() {
         // An idle one makes room; the surplus sockets are there for the time that it takes to go.
@@ -184,7 +183,7 @@
 
 /// Ends a connection from this side, and reads on until its client does so too, or for so long: closed with something
 /// unread the kernel resets it, and the answer that is on its way is lost.
-async fn linger(mut stream: TcpStream, wait: Duration) {
+async fn linger(mut stream: Transport, wait: Duration) {
     let reading = async {
         let mut rest = [0; 4096];
         if stream.shutdown().await.is_ok() {
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -12,6 +12,7 @@
 use crate::sites::Sites;
 use crate::start::build;
 use crate::stop::Stop;
+use crate::transport::Transport;
 use crate::trial::{Trial, Word};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -242,6 +243,7 @@
             let (admin, caller) = (self.clone(), heard.clone());
             async move { Ok::<_, Infallible>(admin.answer(&caller, request).await) }
         }));
+        let stream = Transport::new(stream);
         let connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
         tokio::select! {
             _ = connection => {}
--- a/crates/node/src/lengths.rs
+++ b/crates/node/src/lengths.rs
@@ -5,6 +5,7 @@
 //! kept here until its turn.
 
 use crate::guests::Guest;
+use crate::transport::Transport;
 use crate::watched::Watch;
 use std::future::Future;
 use std::io;
@@ -174,7 +175,7 @@
     /// reads no further where nobody takes what it has read.
     fn more(
         &self,
-        stream: Pin<&mut TcpStream>,
+        stream: Pin<&mut Transport>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
@@ -184,7 +185,7 @@
     }
 
     /// While a command is in hand nothing behind it is handed on, so that its client's end is seen as it comes.
-    fn look_behind(&mut self, mut stream: Pin<&mut TcpStream>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn look_behind(&mut self, mut stream: Pin<&mut Transport>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         loop {
             if !self.behind.is_empty() {
                 self.guest.part.set(true);
@@ -211,7 +212,7 @@
 impl Watch for Followed {
     fn read(
         &mut self,
-        stream: Pin<&mut TcpStream>,
+        stream: Pin<&mut Transport>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
@@ -239,8 +240,8 @@
         self.guest.writes(stuck);
     }
 
-    fn rests(&self, stream: &TcpStream) {
-        if self.guest.blind() && ended(stream) {
+    fn rests(&self, stream: &Transport) {
+        if self.guest.blind() && ended(stream.tcp()) {
             self.guest.gone.set(true);
             self.guest.look.notify_one();
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -29,6 +29,7 @@
 mod sites;
 mod start;
 mod stop;
+mod transport;
 mod trial;
 mod watched;
 mod witness;
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -4,6 +4,7 @@
 use crate::limits::Limits;
 use crate::log::note;
 use crate::message_reader::MessageReader;
+use crate::transport::Transport;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::client::conn::http1;
@@ -15,7 +16,6 @@
 use std::hash::{BuildHasher, BuildHasherDefault};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{timeout, timeout_at, Instant};
 use yarrowfront::decide::{ListKind, Listed, State};
@@ -176,9 +176,8 @@
     }
 
     async fn watch(&mut self, discovery: SocketAddr) -> Result<(), End> {
-        let stream = timeout(self.limits.dial.get(), TcpStream::connect(discovery)).await;
+        let stream = timeout(self.limits.dial.get(), Transport::connect(discovery)).await;
         let stream = stream.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?;
-        stream.set_nodelay(true).map_err(|e| e.to_string())?;
         let (mut sender, connection) =
             http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
         let driver = async {
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -4,6 +4,7 @@
 use crate::bodies::{Out, Over, Room, Start};
 use crate::limits::Limits;
 use crate::log::note;
+use crate::transport::{is_local, Transport};
 use crate::watched::{Watch, Watched};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
@@ -18,9 +19,8 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::{timeout, Instant};
+use tokio::time::{sleep, timeout, Instant};
 use yarrowfront::ids::BackendId;
 
 /// Counts a socket for as long as it is open or being opened.
@@ -59,7 +59,7 @@
 impl Watch for Heard {
     fn read(
         &mut self,
-        stream: Pin<&mut TcpStream>,
+        stream: Pin<&mut Transport>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
@@ -163,16 +163,12 @@
             return Err(NoLease::Full);
         }
         let (open, idle) = (Open::new(count), Rc::<Cell<bool>>::default());
-        let up = async {
-            let stream = TcpStream::connect(address).await.ok()?;
-            stream.set_nodelay(true).ok()?;
-            let mut builder = http1::Builder::new();
-            builder.max_buf_size(self.limits.head_bytes);
-            let heard = Heard { idle: idle.clone(), twice: self.twice.clone() };
-            builder.handshake::<_, Out>(TokioIo::new(Watched { stream, watch: heard })).await.ok()
-        };
-        let (sender, connection) =
-            timeout(self.limits.dial.get(), up).await.ok().flatten().ok_or(NoLease::Unreachable)?;
+        let stream = self.connect(address).await?;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(self.limits.head_bytes);
+        let heard = Heard { idle: idle.clone(), twice: self.twice.clone() };
+        let handshake = builder.handshake::<_, Out>(TokioIo::new(Watched { stream, watch: heard }));
+        let (sender, connection) = handshake.await.map_err(|_| NoLease::Unreachable)?;
         let task = tokio::task::spawn_local(async move {
             // What breaks here is told to whoever holds the sender.
             let _ = connection.await;
@@ -181,6 +177,27 @@
         Ok(Lease { sender, fresh: true, address, idle, _task: TaskEnd(task.abort_handle()) })
     }
 
+    /// A connection within the time for it. What lacks on this machine, a port or a descriptor, is waited for.
+    async fn connect(&self, address: SocketAddr) -> Result<Transport, NoLease> {
+        let lacks = Cell::new(false);
+        let dial = async {
+            loop {
+                match Transport::connect(address).await {
+                    Ok(stream) => return Ok(stream),
+                    Err(error) if is_local(&error) => {
+                        note!("pool: no socket for a dial just now: {error}");
+                        lacks.set(true);
+                        sleep(self.limits.accept_pause).await;
+                        lacks.set(false);
+                    }
+                    Err(_) => return Err(NoLease::Unreachable),
+                }
+            }
+        };
+        let unanswered = |_| if lacks.get() { NoLease::Full } else { NoLease::Unreachable };
+        timeout(self.limits.dial.get(), dial).await.map_err(unanswered)?
+    }
+
     /// Sends a request and reads the answer. Once it has come whole the connection is there for the next; one that
     /// flows has it until then.
     pub async fn exchange(
--- /dev/null
+++ b/crates/node/src/transport.rs
@@ -0,0 +1,107 @@
+//! A TCP connection that is read and written until the kernel says that nothing more goes.
+//!
+//! tokio takes a read or write that moved less than it could as the last one, and then waits for the kernel's next event.
+//! A call that Linux ends short leaves bytes behind of which no event tells, and they lay there until the connection ended.
+
+use std::io::{self, ErrorKind, IoSlice};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{ready, Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+pub struct Transport(TcpStream);
+
+/// Whether a call is to be made again: it was interrupted, or the connection was less ready than it seemed.
+fn again(error: &io::Error) -> bool {
+    matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
+}
+
+/// Whether a dial failed for want of something on this machine: it tells nothing of the other side.
+pub fn is_local(error: &io::Error) -> bool {
+    use rustix::io::Errno;
+    const LOCAL: [Errno; 8] = [
+        Errno::MFILE,
+        Errno::NFILE,
+        Errno::NOBUFS,
+        Errno::NOMEM,
+        Errno::ADDRNOTAVAIL,
+        Errno::ADDRINUSE,
+        Errno::AGAIN,
+        Errno::INTR,
+    ];
+    LOCAL.iter().any(|local| error.raw_os_error() == Some(local.raw_os_error()))
+}
+
+impl Transport {
+    /// Over an open connection, whose small writes then go out at once.
+    pub fn new(stream: TcpStream) -> Transport {
+        // This fails where the other side has reset it, and the first read tells of that.
+        let _ = stream.set_nodelay(true);
+        Transport(stream)
+    }
+
+    pub async fn connect(address: SocketAddr) -> io::Result<Transport> {
+        Ok(Transport::new(TcpStream::connect(address).await?))
+    }
+
+    pub fn tcp(&self) -> &TcpStream {
+        &self.0
+    }
+
+    fn poll_write_with(
+        &self,
+        cx: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(cx))?;
+            match write(&self.0) {
+                Err(error) if again(&error) => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+}
+
+impl AsyncRead for Transport {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.poll_read_ready(cx))?;
+            match self.0.try_read(buf.initialize_unfilled()) {
+                Ok(count) => {
+                    buf.advance(count);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if again(&error) => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Transport {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_write_with(cx, |stream| stream.try_write(bytes))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_with(cx, |stream| stream.try_write_vectored(parts))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(cx)
+    }
+}
--- a/crates/node/src/watched.rs
+++ b/crates/node/src/watched.rs
@@ -1,17 +1,17 @@
 //! A socket under hyper on which somebody looks at what comes, or at what does not go.
 
+use crate::transport::Transport;
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 /// Who looks.
 pub trait Watch {
     /// Reads on hyper's behalf.
     fn read(
         &mut self,
-        stream: Pin<&mut TcpStream>,
+        stream: Pin<&mut Transport>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>>;
@@ -20,11 +20,11 @@
     fn wrote(&self, _stuck: bool) {}
 
     /// Hyper has done for now what it could.
-    fn rests(&self, _stream: &TcpStream) {}
+    fn rests(&self, _stream: &Transport) {}
 }
 
 pub struct Watched<W> {
-    pub stream: TcpStream,
+    pub stream: Transport,
     pub watch: W,
 }
 
