--- a/crates/rehearsal/src/draw.rs
+++ b/crates/rehearsal/src/draw.rs
@@ -16,6 +16,7 @@
     Nodes = 5,
     Fleet = 6,
     Search = 7,
+    Soak = 8,
     /// From here on one for each backend.
     Backends = 1 << 32,
 }
--- a/crates/rehearsal/src/judge/rules.rs
+++ b/crates/rehearsal/src/judge/rules.rs
@@ -49,6 +49,11 @@
 
 /// Cases told in words; the rest is only counted.
 pub const CASES: usize = 12;
+/// A launch may begin so long after its client has left, and a backend may be told so much more time than its client has;
+/// and what both trips take.
+const LEFT_SLACK: Span = Span::millis(100);
+const TOLD_SLACK: Span = Span::millis(150);
+const TRIPS: Span = Span::millis(50);
 /// An answer may come so much after its time: what a timer and a trip take.
 const SLACK: Span = Span::millis(50);
 
@@ -78,6 +83,8 @@
     open: HashMap<u64, Open>,
     /// Final answers given to tries that are not open any more: a second one is one too many.
     closed: HashMap<u64, Moment>,
+    /// Tries whose clients have left.
+    left: HashMap<u64, Moment>,
     /// Effects had by commands that may have one only, and by which try.
     ran: HashMap<u64, Vec<u64>>,
     /// Since when a node knows that a backend takes nothing new.
@@ -98,6 +105,7 @@
             window: scenario.allow.push_span.span(),
             open: HashMap::new(),
             closed: HashMap::new(),
+            left: HashMap::new(),
             ran: HashMap::new(),
             unready: BTreeMap::new(),
             cold: BTreeMap::new(),
@@ -116,10 +124,13 @@
         match *seen {
             Seen::Taken { node, .. } if self.dead.contains(&node) => {}
             Seen::Taken { attempt, command, profile, node, until, .. } => {
+                // Its client may have turned to another node.
+                self.left.remove(&attempt);
                 self.open.insert(attempt, Open { command, profile, node, until });
             }
-            Seen::Left { attempt } => {
+            Seen::Left { attempt, at } => {
                 self.open.remove(&attempt);
+                self.left.insert(attempt, at);
             }
             Seen::Answered { attempt, what, made_for, at } => self.answered(attempt, what, made_for, at),
             Seen::Broken { attempt, at } => {
@@ -153,7 +164,8 @@
                     self.unready.entry((node, backend)).or_insert(at);
                 }
             }
-            Seen::Launched { node, backend, at, .. } => {
+            Seen::Launched { node, backend, at, attempt, told_left } => {
+                self.launched(attempt, told_left, at);
                 let told = self.unready.get(&(node, backend)).copied();
                 if let Some(told) = told.filter(|told| at > *told + self.grace) {
                     let late = at.since(told).micros() / 1e3;
@@ -194,6 +206,24 @@
         }
     }
 
+    fn launched(&mut self, attempt: u64, told_left: Option<Span>, at: Moment) {
+        if let Some(left) = self.left.get(&attempt).filter(|left| at > **left + LEFT_SLACK + TRIPS) {
+            let late = at.since(*left).micros() / 1e3;
+            self.broken.answers += 1;
+            self.case(at, format!("try {attempt}: launched {late:.0} ms after its client had left"));
+        }
+        let Some(open) = self.open.get(&attempt) else { return };
+        let (Some(told), left) = (told_left, open.until.since(at)) else { return };
+        if told > Span(left.0 + TOLD_SLACK.0 + TRIPS.0) {
+            let (told, left) = (told.micros() / 1e3, left.micros() / 1e3);
+            self.broken.answers += 1;
+            self.case(
+                at,
+                format!("try {attempt}: a backend was told {told:.0} ms, its client has {left:.0} ms"),
+            );
+        }
+    }
+
     fn answered(&mut self, attempt: u64, what: Final, made_for: Option<u64>, at: Moment) {
         let Some(open) = self.open.remove(&attempt) else {
             if self.closed.contains_key(&attempt) {
--- a/crates/rehearsal/src/judge/seen.rs
+++ b/crates/rehearsal/src/judge/seen.rs
@@ -1,7 +1,7 @@
 //! What clients and backends saw: the words in which both clocks tell the judges.
 
 use crate::model::clients::TryEnd;
-use yarrowfront::times::Moment;
+use yarrowfront::times::{Moment, Span};
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Final {
@@ -41,6 +41,7 @@
     /// The client has gone before its answer.
     Left {
         attempt: u64,
+        at: Moment,
     },
     /// A whole final answer; `made_for` is the try that the backend's body names.
     Answered {
@@ -67,6 +68,8 @@
         backend: usize,
         attempt: u64,
         at: Moment,
+        /// The time that its client is said to have left, where that was told.
+        told_left: Option<Span>,
     },
     /// A launch has come whole to a backend's process.
     Reached {
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod report;
 pub mod scenario;
 pub mod search;
+pub mod soak;
 pub mod span;
 pub mod stats;
 pub mod virtual_clock;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -6,7 +6,7 @@
 use rehearsal::experiment::{self, Experiment};
 use rehearsal::judge::result::Played;
 use rehearsal::scenario::Scenario;
-use rehearsal::{compare, policy, program, real, report, search, virtual_clock};
+use rehearsal::{compare, policy, program, real, report, search, soak, virtual_clock};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -77,6 +77,18 @@
         #[arg(long, value_name = "FILE", default_value = "found/worst.toml")]
         out: PathBuf,
     },
+    /// Plays worlds drawn from seeds around real nodes, under hardships of all kinds, and judges them by the rules.
+    Soak {
+        /// The seeds: one, or the first and the last as `1..50`, both included.
+        #[arg(long)]
+        seeds: soak::Seeds,
+        /// Where the nodes' logs go, a folder for each seed.
+        #[arg(long, value_name = "DIR")]
+        logs: Option<PathBuf>,
+        /// The node's program, if it is not the one beside this.
+        #[arg(long, value_name = "FILE")]
+        node: Option<PathBuf>,
+    },
     /// The model beside the figures of the paper that the design comes from: takes a minute.
     Paper,
     /// Checks scenario files: names file, line and key of what is wrong.
@@ -191,7 +203,7 @@
                         );
                     }
                     let program = node.map_or_else(program::node, Ok)?;
-                    let means = real::Means { program, logs, arguments: Vec::new() };
+                    let means = real::Means { program, logs, arguments: Vec::new(), variables: Vec::new() };
                     let played = real::play(&scenario, seed, &means, &mut progress)?;
                     if played.0.rules.any() && shrink > 0 {
                         smaller = Some(real::shrink(&scenario, seed, &means, shrink)?);
@@ -259,6 +271,12 @@
             println!("rules broken {}; as a scenario: {}", small.loss.broken, out.display());
             Ok(if small.loss.broken > 0 { BROKEN } else { 0 })
         }
+        Command::Soak { seeds, logs, node } => {
+            let program = node.map_or_else(program::node, Ok)?;
+            let found = soak::run(seeds, &program, logs.as_deref(), &mut |line| println!("{line}"))?;
+            println!("{found}");
+            Ok(if found.broken > 0 { BROKEN } else { u8::from(found.not_judged > 0) })
+        }
         Command::Paper => {
             print!("{}", rehearsal::paper::tables()?);
             Ok(0)
--- a/crates/rehearsal/src/paper.rs
+++ b/crates/rehearsal/src/paper.rs
@@ -157,6 +157,7 @@
         view: None,
         faults: Vec::new(),
         drawn: None,
+        stress: None,
         site_plan: None,
     }
 }
--- a/crates/rehearsal/src/real/backends.rs
+++ b/crates/rehearsal/src/real/backends.rs
@@ -16,6 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until};
+use yarrowfront::times::Span;
 
 type Answer = Result<Response<Full<Bytes>>, &'static str>;
 
@@ -144,7 +145,9 @@
     let Some((attempt, sent)) = attempt.and_then(|a| Some((a, stage.of(a)?))) else {
         return Ok(plain(StatusCode::BAD_REQUEST, "no client has sent this"));
     };
-    stage.see(Seen::Launched { node: sent.node, backend: i, attempt, at: stage.now() });
+    let told_left = request.headers().get("x-time-left-ms").and_then(|v| v.to_str().ok());
+    let told_left = told_left.and_then(|millis| millis.parse().ok()).map(Span::millis);
+    stage.see(Seen::Launched { node: sent.node, backend: i, attempt, at: stage.now(), told_left });
     let method = request.method().clone();
     if request.into_body().collect().await.is_err() {
         return Err("the command was cut short");
--- a/crates/rehearsal/src/real/clients.rs
+++ b/crates/rehearsal/src/real/clients.rs
@@ -92,7 +92,8 @@
     async fn attempt(&self, wanted: &Wanted, tries: u32) -> Option<TryEnd> {
         let nodes = self.crew.in_front();
         let draw = if tries == 1 { wanted.front } else { self.draw.borrow_mut().unit() };
-        let Some(&node) = nodes.get((draw * nodes.len() as f64) as usize) else {
+        let front = nodes.get((draw * nodes.len() as f64) as usize).copied();
+        let Some(node) = self.stopping_with_open_connection().or(front) else {
             return Some(TryEnd::Refused);
         };
         self.tries.set(self.tries.get() + 1);
@@ -108,7 +109,7 @@
         let Ok(answered) = timeout_at(end, exchange).await else {
             // The future that is dropped here takes its connection along: the node sees its client go.
             if leaves {
-                self.stage.see(Seen::Left { attempt });
+                self.stage.see(Seen::Left { attempt, at: self.stage.now() });
                 return None;
             }
             return Some(TryEnd::TimedOut);
@@ -139,16 +140,23 @@
 
     async fn exchange(
         &self,
-        node: usize,
+        first: usize,
         attempt: u64,
         wanted: &Wanted,
         repeat: bool,
     ) -> Result<(StatusCode, Option<Span>, Bytes), TryEnd> {
-        let mut taken = false;
+        let (mut taken, mut node) = (false, first);
         // A connection that the node closed as the command went out is tried once more on a new one.
         for fresh in [false, true] {
             let old = if fresh { None } else { self.reuse(node) };
             let reused = old.is_some();
+            if old.is_none() && self.crew.stopping().contains(&node) {
+                // The front gives out no new connections to it.
+                self.stage.see(Seen::Left { attempt, at: self.stage.now() });
+                node = self.crew.in_front().first().copied().ok_or(TryEnd::Refused)?;
+                self.stage.moved(attempt, node);
+                taken = false;
+            }
             let mut sender = match old {
                 Some(sender) => sender,
                 None => self.connect(node).await.ok_or(if taken { TryEnd::Lost } else { TryEnd::Refused })?,
@@ -176,6 +184,17 @@
         Err(TryEnd::Lost)
     }
 
+    /// A node that was told to stop and has left a connection open: clients may go on using that.
+    fn stopping_with_open_connection(&self) -> Option<usize> {
+        let stress = self.stage.scenario.stress.as_ref()?;
+        if !stress.used_until_kill {
+            return None;
+        }
+        let idle = self.idle.borrow();
+        let open = |node: &usize| idle[*node].iter().any(|sender| sender.is_ready());
+        self.crew.stopping().into_iter().find(open)
+    }
+
     fn reuse(&self, node: usize) -> Option<Sender> {
         let idle = &mut self.idle.borrow_mut()[node];
         while let Some(sender) = idle.pop() {
--- a/crates/rehearsal/src/real/discovery.rs
+++ b/crates/rehearsal/src/real/discovery.rs
@@ -16,11 +16,14 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
-use tokio::time::{sleep_until, timeout};
+use tokio::time::{sleep, sleep_until, timeout};
 
 /// A watch with nothing to tell says so with an empty line.
 const BEAT: Duration = Duration::from_secs(2);
 
+/// How long a call hangs before it fails, in a soak's outages.
+const HANGS: Duration = Duration::from_secs(2);
+
 /// A body that comes line by line.
 struct Lines(mpsc::UnboundedReceiver<Bytes>);
 
@@ -57,7 +60,13 @@
 
 async fn answer(stage: Rc<Stage>, node: usize, request: Request<Incoming>) -> Answer {
     let mut response = Response::new(Full::new(Bytes::new()).boxed_unsync());
-    if !stage.list_up() {
+    let stressed = stage.scenario.stress.is_some();
+    let turn = stage.list_turn();
+    if !stage.list_up() || turn.is_none() {
+        if stressed && turn.is_some() {
+            // While it is down a call hangs first.
+            sleep(HANGS).await;
+        }
         *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         return Ok(response);
     }
@@ -65,6 +74,9 @@
         *response.status_mut() = StatusCode::NOT_FOUND;
         return Ok(response);
     }
+    if let Some(turn) = turn {
+        sleep_until(turn).await;
+    }
     let query = request.uri().query().unwrap_or_default();
     let value = |name: &str| query.split('&').find_map(|part| part.strip_prefix(name)?.strip_prefix('='));
     if value("stream") != Some("1") {
--- a/crates/rehearsal/src/real/mod.rs
+++ b/crates/rehearsal/src/real/mod.rs
@@ -3,6 +3,7 @@
 mod backends;
 mod clients;
 mod discovery;
+mod idle_crowd;
 mod nodes;
 mod ports;
 mod stage;
@@ -94,6 +95,7 @@
     let faults = spawn_local(ways::run_faults(stage.clone(), schedule.clone(), crew.clone()));
     let watched = scenario.view.is_some().then(|| spawn_local(ways::watch(stage.clone(), crew.clone())));
     let crowd = clients::Crowd::new(stage.clone(), crew.clone(), seed);
+    let silent = spawn_local(idle_crowd::hold(stage.clone(), crew.clone()));
     let driven = spawn_local(crowd.run());
     let seconds = scenario.length.0.div_ceil(1_000_000);
     for second in 1..=seconds {
@@ -103,6 +105,7 @@
     let late = driven.await.map_err(|e| format!("the clients: {e}"))?;
     troubles.abort();
     faults.abort();
+    silent.abort();
     watched.inspect(|watched| watched.abort());
     stage.view(|views, now| views.end(now));
     let processes = crew.end_all().await;
--- a/crates/rehearsal/src/real/nodes.rs
+++ b/crates/rehearsal/src/real/nodes.rs
@@ -27,6 +27,11 @@
 /// What a node may take beyond the longest time limit to end after SIGTERM.
 const STOP: Duration = Duration::from_millis(1500);
 
+/// A kill comes so long after the longest time limit, or after this where that is longer, counted from the word to stop.
+const KILL_AFTER: Duration = Duration::from_millis(700);
+const KILL_WAITS_FOR: Duration = Duration::from_secs(3);
+const BETWEEN_SIGNALS: Duration = Duration::from_millis(60);
+
 /// How real processes are to be run.
 #[derive(Clone, Debug)]
 pub struct Means {
@@ -36,6 +41,8 @@
     pub logs: Option<PathBuf>,
     /// What the program is started with: nothing for the node.
     pub arguments: Vec<String>,
+    /// And what is added to its environment.
+    pub variables: Vec<(String, String)>,
 }
 
 /// A process at its place.
@@ -53,6 +60,8 @@
     admin: Option<u16>,
     config: PathBuf,
     in_front: Cell<bool>,
+    /// Told to stop, and not ended yet.
+    stopping: Cell<bool>,
     life: RefCell<Option<Life>>,
     /// Counted up with every start.
     lives: Cell<u32>,
@@ -111,6 +120,7 @@
                 admin,
                 config: path,
                 in_front: Cell::new(false),
+                stopping: Cell::new(false),
                 life: RefCell::new(None),
                 lives: Cell::new(0),
                 seen: RefCell::new(Process { node, ..Process::default() }),
@@ -156,6 +166,7 @@
         };
         let mut command = Command::new(&means.program);
         command.args(&means.arguments);
+        command.envs(means.variables.iter().map(|(name, value)| (name, value)));
         for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"] {
             command.env_remove(name);
         }
@@ -194,6 +205,7 @@
     /// Waits for a process's end, and says so if nobody asked for it.
     async fn mind(self, node: usize, mut child: Child, asked: Rc<Cell<bool>>, end: watch::Sender<bool>) {
         let _ = child.wait().await;
+        self.0.places[node].stopping.set(false);
         if !asked.get() {
             let place = &self.0.places[node];
             place.in_front.set(false);
@@ -223,8 +235,50 @@
 
     /// A planned stop: the front sends nothing more there.
     pub fn stop(&self, node: usize) {
-        self.0.places[node].in_front.set(false);
+        let place = &self.0.places[node];
+        place.in_front.set(false);
+        let stress = self.0.stage.scenario.stress.clone().unwrap_or_default();
+        if stress.signal_series {
+            self.just_signal(node, Signal::SIGHUP);
+            self.just_signal(node, Signal::SIGHUP);
+        }
         self.signal(node, Signal::SIGTERM);
+        place.stopping.set(true);
+        if stress.signal_series {
+            let crew = self.clone();
+            spawn_local(async move {
+                for signal in [Signal::SIGHUP, Signal::SIGTERM, Signal::SIGHUP] {
+                    sleep(BETWEEN_SIGNALS).await;
+                    crew.signal_while_stopping(node, signal);
+                }
+            });
+        }
+        if stress.used_until_kill {
+            let (crew, life) = (self.clone(), place.lives.get());
+            spawn_local(async move {
+                sleep(crew.longest_limit().min(KILL_WAITS_FOR) + KILL_AFTER).await;
+                if crew.0.places[node].lives.get() == life {
+                    crew.signal_while_stopping(node, Signal::SIGKILL);
+                }
+            });
+        }
+    }
+
+    fn signal_while_stopping(&self, node: usize, signal: Signal) {
+        if self.0.places[node].stopping.get() {
+            self.just_signal(node, signal);
+        }
+    }
+
+    fn longest_limit(&self) -> Duration {
+        let limits = self.0.stage.scenario.profiles.iter().map(|p| p.limit);
+        limits.max().unwrap_or_default().duration()
+    }
+
+    /// The nodes that were told to stop and have not ended.
+    pub fn stopping(&self) -> Vec<usize> {
+        let places = self.0.places.iter().enumerate();
+        places.filter(|(_, p)| p.stopping.get()).map(|(i, _)| i).collect()
     }
 
     /// What it has taken until now cannot be asked of it any more.
@@ -284,9 +338,8 @@
     async fn finish(&self, node: usize) {
         let life = self.0.places[node].life.borrow_mut().take();
         let Some(Life { pid, asked, mut ended }) = life else { return };
-        let limit = self.0.stage.scenario.profiles.iter().map(|p| p.limit).max().unwrap_or_default();
         let over = async { while !*ended.borrow_and_update() && ended.changed().await.is_ok() {} };
-        if timeout(limit.duration() + STOP, over).await.is_err() {
+        if timeout(self.longest_limit() + STOP, over).await.is_err() {
             asked.set(true);
             self.0.stage.see(Seen::Crashed { node, at: self.0.stage.now() });
             let _ = kill(Pid::from_raw(pid), Signal::SIGKILL);
--- a/crates/rehearsal/src/real/stage.rs
+++ b/crates/rehearsal/src/real/stage.rs
@@ -18,7 +18,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot, watch, Notify};
 use tokio::task::spawn_local;
-use tokio::time::Instant;
+use tokio::time::{sleep, Instant};
 use yarrowfront::decide::{Listed, State};
 use yarrowfront::times::Moment;
 
@@ -59,6 +59,11 @@
     pub port: Cell<u16>,
 }
 
+/// A call that would wait for longer in discovery's queue is refused.
+const LONGEST_LIST_WAIT: Duration = Duration::from_secs(2);
+/// What the end of a watch hides counts as told so much later.
+const HIDDEN_COUNTS_AS_TOLD: Duration = Duration::from_secs(2);
+
 /// A line of the list on its way to a node, and when it is due there.
 pub type Line = (Instant, Option<usize>, String);
 
@@ -82,6 +87,8 @@
     origin: Cell<Moment>,
     inner: RefCell<Inner>,
     pub ways: Ways,
+    /// Until when discovery works through the calls that it has.
+    list_busy_until: Cell<Instant>,
     /// New machines, whose doors are to be opened.
     replaced: mpsc::UnboundedSender<usize>,
 }
@@ -109,6 +116,7 @@
         let (replaced, told) = mpsc::unbounded_channel();
         let stage = Stage {
             replaced,
+            list_busy_until: Cell::new(Instant::now()),
             ways: Ways::new(scenario, seed),
             scenario: Rc::new(scenario.clone()),
             zero: (Instant::now(), unix),
@@ -198,6 +206,13 @@
         self.inner.borrow_mut().sent.insert(attempt, sent);
     }
 
+    /// Its client has sent it to another node instead.
+    pub fn moved(&self, attempt: u64, node: usize) {
+        if let Some(sent) = self.inner.borrow_mut().sent.get_mut(&attempt) {
+            sent.node = node;
+        }
+    }
+
     pub fn of(&self, attempt: u64) -> Option<Sent> {
         self.inner.borrow().sent.get(&attempt).copied()
     }
@@ -458,11 +473,43 @@
         }
     }
 
-    fn publish(&self, i: usize) {
-        let inner = &mut *self.inner.borrow_mut();
-        if !inner.fleet.publish(i) || !inner.fleet.list_up {
-            return;
+    /// When discovery gets to a call that comes now; none if that is too late for it.
+    pub fn list_turn(&self) -> Option<Instant> {
+        let turn = self.scenario.stress.as_ref().map_or(Duration::ZERO, |stress| stress.list_turn.duration());
+        let answered = self.list_busy_until.get().max(Instant::now()) + turn;
+        if answered > Instant::now() + LONGEST_LIST_WAIT {
+            return None;
+        }
+        self.list_busy_until.set(answered);
+        Some(answered)
+    }
+
+    /// All watches end instead of telling of this backend; what they hide counts as told a while later.
+    fn end_watches(self: &Rc<Self>, i: usize) {
+        let watching: Vec<usize> = {
+            let watchers = &mut self.inner.borrow_mut().watchers;
+            (0..watchers.len()).filter(|node| watchers[*node].take().is_some()).collect()
+        };
+        let stage = self.clone();
+        spawn_local(async move {
+            sleep(HIDDEN_COUNTS_AS_TOLD).await;
+            watching.into_iter().for_each(|node| stage.told(node, Some(i)));
+        });
+    }
+
+    fn publish(self: &Rc<Self>, i: usize) {
+        let ends = self.scenario.stress.as_ref().is_some_and(|stress| stress.watches_end);
+        let hidden = {
+            let inner = &mut *self.inner.borrow_mut();
+            if !inner.fleet.publish(i) || !inner.fleet.list_up {
+                return;
+            }
+            ends && inner.fleet.said[i].state == State::Draining
+        };
+        if hidden {
+            return self.end_watches(i);
         }
+        let inner = &mut *self.inner.borrow_mut();
         let index = inner.fleet.changes.len();
         let trip = self.scenario.list.trip.duration();
         for node in 0..inner.watchers.len() {
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -43,12 +43,36 @@
     pub faults: Vec<FaultAt>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub drawn: Option<Drawn>,
+    /// Hardships of a soak. On the real clock alone.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stress: Option<Stress>,
     /// The nodes' plan for the loss of sites, as in their operators' file; the sites are called as zones are, `zone-0` and
     /// on. On the real clock alone.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub site_plan: Option<String>,
 }
 
+/// What a soak does to nodes beside troubles and faults on the ways.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Stress {
+    /// A planned stop ends in a kill, at the earliest time that there may be one, and clients go on using the open
+    /// connections of the node until then.
+    pub used_until_kill: bool,
+    /// A planned stop is told in a series of signals, new configurations among them.
+    pub signal_series: bool,
+    /// Connections to each node on which nobody says anything.
+    pub idle_crowd: u32,
+    /// Watches are ended instead of told that a backend drains.
+    pub watches_end: bool,
+    /// What a call for the list takes of discovery's time: it works through calls in turn.
+    pub list_turn: Time,
+    /// One in so many of the nodes' socket calls ends short, and of their accepts and dials fails; none at 0.
+    pub short_calls: u32,
+    pub failing_accepts: u32,
+    pub failing_dials: u32,
+}
+
 /// The times of the nodes' view, and how soon after the last fault all have to agree.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- /dev/null
+++ b/crates/rehearsal/src/soak/world.rs
@@ -0,0 +1,174 @@
+//! The world of a seed: a deployment, its clients, and several troubles that cross each other.
+
+use crate::draw::{Draw, Stream};
+use crate::scenario::{
+    Again, EffectOf, Follow, List, Load, Net, Profile, Scenario, Scope, Shape, Stress, Trouble, What,
+};
+use crate::span::Time;
+
+const LENGTH: Time = Time::seconds(14);
+/// Troubles begin after this, or in one world of four after a quiet time.
+const FIRST: u64 = 2_500;
+const QUIET: u64 = 6_000;
+const LAST: u64 = 10_000;
+
+/// Draws it.
+pub fn draw(seed: u64) -> Scenario {
+    let mut draw = Draw::new(seed, Stream::Soak);
+    let backends = 4 + draw.below(9) as u32;
+    let nodes = if draw.chance(0.2) { 8 + draw.below(13) } else { 2 + draw.below(5) } as u32;
+    let zones = 1 + draw.below(2) as u16;
+    let limit = [150, 400, 1000, 2500, 5000][draw.below(5)];
+    let from = if draw.chance(0.25) { QUIET } else { FIRST };
+    let troubles = troubles(&mut draw, from);
+    let mode = if draw.chance(0.6) { Follow::Ask } else { Follow::Watch };
+    let stress = stress(&mut draw, nodes, mode);
+    let kinds: Vec<&str> = troubles.iter().map(|trouble| trouble.kind.words()).collect();
+    let about = format!("{nodes} nodes, {backends} backends, limits of {limit} ms: {}", kinds.join(", "));
+    let mut scenario = Scenario {
+        name: format!("soak-{seed}"),
+        about,
+        length: LENGTH,
+        settle: Time::seconds(1),
+        nodes,
+        zones,
+        load: Load {
+            share: None,
+            per_s: Some(60.0 + 100.0 * draw.unit()),
+            shape: if draw.chance(0.5) { Shape::Bursts } else { Shape::Poisson },
+            swing: 0.4,
+        },
+        clients: Default::default(),
+        list: List { mode, ask_within: Time::millis(2000 + 8000 * draw.below(2) as u64), ..List::default() },
+        net: Net { resets: 0.01 * draw.below(3) as f64, ..Net::default() },
+        allow: Default::default(),
+        backends: vec![backend(&mut draw, backends)],
+        profiles: profiles(&mut draw, limit),
+        customers: Vec::new(),
+        troubles,
+        view: None,
+        faults: Vec::new(),
+        drawn: None,
+        stress: Some(stress),
+        site_plan: None,
+    };
+    scenario.clients.leaving = 0.1 * draw.unit();
+    scenario.clients.leave_after = Time::millis(20 + draw.below(100) as u64);
+    scenario.clients.again = [Again::AtOnce, Again::Wait, Again::Advised][draw.below(3)];
+    scenario.allow.second_copies = draw.chance(0.5);
+    scenario.allow.probes = draw.chance(0.5);
+    scenario.allow.drain_grace = Time::millis(300 + 100 * draw.below(3) as u64);
+    scenario
+}
+
+fn backend(draw: &mut Draw, count: u32) -> crate::scenario::Kind {
+    let text = format!(
+        "kind = \"small\"\ncount = {count}\ngroup = 2\nspread = 0.2\ncores = {}\nwarm = \"{}s\"\ncold = 0.4\nerrors = {}\n",
+        1 + draw.below(2),
+        2 + draw.below(5),
+        0.005 * draw.below(3) as f64,
+    );
+    toml::from_str(&text).expect("a kind of backends")
+}
+
+fn profiles(draw: &mut Draw, limit: u64) -> Vec<Profile> {
+    let effects = [EffectOf::Repeatable, EffectOf::Tagged, EffectOf::OnceOnly];
+    let work = 4_000 + 1_000 * draw.below(8) as u64;
+    let profile = |(number, effect): (usize, &EffectOf)| Profile {
+        name: format!("class-{number}"),
+        share: 1.0,
+        effect: *effect,
+        scope: if number == 1 { Scope::Group } else { Scope::All },
+        memory: Time::millis(2 * limit),
+        goal: Time::millis(limit / 2),
+        limit: Time::millis(limit),
+        payoff: 1.0,
+        work: Time(work),
+        law: crate::scenario::Law::Exponential,
+        spread: 1.0,
+    };
+    effects.iter().enumerate().map(profile).collect()
+}
+
+/// A release and planned restarts in nearly every world, and up to three troubles more.
+fn troubles(draw: &mut Draw, from: u64) -> Vec<Trouble> {
+    let mut kinds = Vec::new();
+    if draw.chance(0.8) {
+        kinds.push(What::RollingDeploy);
+    }
+    if draw.chance(0.8) {
+        kinds.push(What::NodeRestarts);
+    }
+    let others = [
+        What::Deaths,
+        What::NodeDeaths,
+        What::ListOutage,
+        What::Stalls,
+        What::Hangs,
+        What::Errors,
+        What::Resets,
+        What::LostAnswers,
+    ];
+    for _ in 0..1 + draw.below(3) {
+        kinds.push(others[draw.below(others.len())]);
+    }
+    kinds.into_iter().map(|kind| trouble(draw, kind, from)).collect()
+}
+
+fn trouble(draw: &mut Draw, kind: What, from: u64) -> Trouble {
+    let at = from + draw.below((LAST - from) as usize / 2) as u64;
+    let length = 500 + draw.below((LAST - at) as usize) as u64;
+    Trouble {
+        kind,
+        at: Time::millis(at),
+        length: Time::millis(length),
+        share: 0.2 + 0.4 * draw.unit(),
+        strength: match kind {
+            What::Errors => 0.3,
+            What::Resets | What::LostAnswers => 0.05,
+            _ => 1.0,
+        },
+        down: match kind {
+            What::Stalls => Time::millis(150),
+            // A node is started again when the one before has surely ended.
+            What::NodeRestarts => Time::millis(4500),
+            _ => Time::millis(800 + draw.below(1500) as u64),
+        },
+        every: Time::millis(600),
+        swap: draw.chance(0.5),
+        ..Trouble::default()
+    }
+}
+
+fn stress(draw: &mut Draw, nodes: u32, mode: Follow) -> Stress {
+    let often = |draw: &mut Draw, share: f64, count: u32| if draw.chance(share) { count } else { 0 };
+    Stress {
+        used_until_kill: draw.chance(0.8),
+        signal_series: draw.chance(0.6),
+        idle_crowd: often(draw, 0.3, 2000 / nodes),
+        // Where the list is pushed an ended watch hides nothing from the agent.
+        watches_end: mode == Follow::Ask && draw.chance(0.5),
+        // All nodes are served within the two seconds in which what a watch's end hides counts as known.
+        list_turn: Time::millis(draw.below(2) as u64 * 1500 / u64::from(nodes)),
+        short_calls: often(draw, 0.4, 20),
+        failing_accepts: often(draw, 0.3, 10),
+        failing_dials: often(draw, 0.3, 10),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::draw;
+
+    /// A seed is a world: the same one each time, one that can be played, and not that of the next seed.
+    #[test]
+    fn worlds_of_seeds() {
+        for seed in 0..200 {
+            let world = draw(seed);
+            assert_eq!(world.check(), Ok(()), "seed {seed}");
+            let text = |seed| toml::to_string(&draw(seed)).expect("a text");
+            assert_eq!(text(seed), text(seed));
+            assert_ne!(text(seed), text(seed + 1));
+        }
+    }
+}
--- a/crates/rehearsal/src/virtual_clock.rs
+++ b/crates/rehearsal/src/virtual_clock.rs
@@ -358,7 +358,7 @@
             Event::Leave(attempt) => {
                 if let Some(t) = self.tries.get(attempt).filter(|t| t.open) {
                     let number = t.number;
-                    self.judges.see(Seen::Left { attempt: number });
+                    self.judges.see(Seen::Left { attempt: number, at: self.now });
                     self.gone(attempt);
                     self.end_try(attempt, None);
                 }
@@ -714,7 +714,7 @@
         let try_number = u64::from(held.task.command.id.0);
         let p = &self.scenario.profiles[usize::from(profile)];
         let tag = (p.effect == EffectOf::Tagged).then(|| (command, p.memory.span()));
-        self.judges.see(Seen::Launched { node, backend, attempt: try_number, at: self.now });
+        self.judges.see(Seen::Launched { node, backend, attempt: try_number, at: self.now, told_left: None });
         let n = &mut self.nodes[node];
         n.idle.resize(n.idle.len().max(backend + 1), 0);
         let new = n.idle[backend] == 0;
--- a/crates/rehearsal/tests/judges.rs
+++ b/crates/rehearsal/tests/judges.rs
@@ -207,7 +207,7 @@
     let began =
         |attempt, command| Seen::Began { backend: 0, attempt, command, profile: 0, work: 1.0, at: at(1) };
     let told = |ready, ms| Seen::Told { node: 0, backend: 1, ready, at: at(ms) };
-    let launched = |node, ms| Seen::Launched { node, backend: 1, attempt: 1, at: at(ms) };
+    let launched = |node, ms| Seen::Launched { node, backend: 1, attempt: 1, at: at(ms), told_left: None };
     // What is seen, and how often which rule is broken then: answers, effects, drains.
     let cases: [(&str, Vec<Seen>, [u64; 3]); 13] = [
         ("in time", vec![taken(1, 0), answered(1, Some(1), 500)], [0, 0, 0]),
@@ -216,7 +216,7 @@
         ("made for nobody", vec![taken(1, 0), answered(1, None, 100)], [1, 0, 0]),
         ("never", vec![taken(1, 0)], [1, 0, 0]),
         ("its connection ended", vec![taken(1, 0), Seen::Broken { attempt: 1, at: at(9) }], [1, 0, 0]),
-        ("its client left", vec![taken(1, 0), Seen::Left { attempt: 1 }], [0, 0, 0]),
+        ("its client left", vec![taken(1, 0), Seen::Left { attempt: 1, at: at(1) }], [0, 0, 0]),
         ("its node was killed", vec![taken(1, 2), Seen::Killed { node: 2, at: at(9) }], [0, 0, 0]),
         ("another was killed", vec![taken(1, 2), Seen::Killed { node: 1, at: at(9) }], [1, 0, 0]),
         ("two effects by two tries", vec![began(1, 7), began(2, 7)], [0, 1, 0]),
