Hear signals by flags of our own: the runtime's were lost under interrupted calls

Such calls are injected by our library; the kernel interrupts a call that does not wait hardly ever.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,6 +26,7 @@
 mod reload;
 mod reply;
 mod serve;
+mod signals;
 mod sites;
 mod start;
 mod stop;
@@ -56,7 +57,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let ended = runtime.map_err(|e| format!("runtime: {e}")).and_then(|runtime| {
         LocalSet::new().block_on(&runtime, async {
-            let signals = stop::Signals::new().map_err(|e| format!("signals: {e}"))?;
+            let signals = signals::Signals::listen().map_err(|e| format!("signals: {e}"))?;
             run(start::Start::read(|name| std::env::var(name).ok())?, signals).await
         })
     });
@@ -79,7 +80,7 @@
     )
 }
 
-async fn run(start: start::Start, signals: stop::Signals) -> Result<(), String> {
+async fn run(start: start::Start, signals: signals::Signals) -> Result<(), String> {
     let limits = Rc::new(start.limits);
     log::allow(limits.notes_per_s);
     let clock = Clock::start();
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -16,7 +16,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::signal::unix::Signal;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, Instant};
 
@@ -24,7 +23,7 @@
 pub type Beside = (Option<Rc<Fleet>>, Option<Rc<Trial>>, Option<Rc<Sites>>);
 
 pub struct Reload {
-    hangup: Signal,
+    hangup: mpsc::UnboundedReceiver<()>,
     discovery: watch::Sender<SocketAddr>,
     /// The file as it was last taken over.
     file: Value,
@@ -66,7 +65,7 @@
 
 impl Reload {
     pub fn new(
-        hangup: Signal,
+        hangup: mpsc::UnboundedReceiver<()>,
         discovery: watch::Sender<SocketAddr>,
         file: Value,
         (desk, limits, stop): (Rc<Desk>, Rc<Limits>, Rc<Stop>),
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -2,26 +2,10 @@
 //! they take it back.
 
 use crate::log::note;
-use std::io;
 use std::time::Duration;
-use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, Instant};
 
-/// What operators say by signals. Until a process has these each of them ends it, whatever it has begun: with them one that
-/// comes during the start is heard when that is over.
-pub struct Signals {
-    pub stop: [Signal; 2],
-    pub hangup: Signal,
-}
-
-impl Signals {
-    pub fn new() -> io::Result<Signals> {
-        let stop = [signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?];
-        Ok(Signals { stop, hangup: signal(SignalKind::hangup())? })
-    }
-}
-
 pub struct Stop {
     since: watch::Sender<Option<Instant>>,
     away: watch::Sender<Option<Instant>>,
@@ -36,10 +20,9 @@
     }
 
     /// Waits for the signal to stop.
-    pub async fn listen(&self, [mut terminate, mut interrupt]: [Signal; 2]) {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+    pub async fn listen(&self, mut signal: mpsc::UnboundedReceiver<()>) {
+        if signal.recv().await.is_none() {
+            return;
         }
         note!("stop: finishing what is in hand");
         self.since.send_replace(Some(Instant::now()));
--- a/crates/node/tests/system_calls.rs
+++ b/crates/node/tests/system_calls.rs
@@ -6,7 +6,9 @@
 
 use serde_json::Value;
 use std::io::Write;
-use std::thread::scope;
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::sync::Arc;
+use std::thread::{scope, sleep, spawn};
 use std::time::{Duration, Instant};
 use world::*;
 
@@ -86,3 +88,46 @@
     let world = shimmed(&[("SHIM_CONNECT", "2")], 4);
     assert_eq!(failures(&world, "pay"), [""; 0]);
 }
+
+/// Kills a node that a test waits for in vain, unless the test has ended by then.
+struct Bounded(Arc<AtomicBool>);
+
+impl Bounded {
+    fn new(node: u32) -> Bounded {
+        let over = Arc::new(AtomicBool::new(false));
+        let ended = over.clone();
+        spawn(move || {
+            sleep(Duration::from_secs(20));
+            if !ended.load(SeqCst) {
+                let _ = std::process::Command::new("kill").args(["-KILL", &node.to_string()]).status();
+            }
+        });
+        Bounded(over)
+    }
+}
+
+impl Drop for Bounded {
+    fn drop(&mut self) {
+        self.0.store(true, SeqCst);
+    }
+}
+
+/// Signals in series under calls that are interrupted: none is lost, and none ends the process but the one that is to.
+#[test]
+fn signals_under_interrupted_calls() {
+    for _ in 0..4 {
+        let mut world = shimmed(&[("SHIM_INTERRUPT", "3")], 2);
+        let _bounded = Bounded::new(world.node.id());
+        let text = world.config.to_string();
+        for _ in 0..12 {
+            assert!(world.reload(&text).contains("reload: discovery is at"));
+        }
+        assert_eq!(world.ask(&asks("pay")).status(), 200);
+        let told = Instant::now();
+        for signal in ["-HUP", "-TERM", "-TERM", "-HUP"] {
+            world.signal(signal);
+        }
+        assert!(world.node.wait().expect("an end").success());
+        assert!(told.elapsed() < Duration::from_secs(3), "{:?}", told.elapsed());
+    }
+}
