--- a/crates/rehearsal/src/real/clients.rs
+++ b/crates/rehearsal/src/real/clients.rs
@@ -48,7 +48,9 @@
         let nodes = stage.scenario.nodes as usize;
         let idle = RefCell::new((0..nodes).map(|_| Vec::new()).collect());
         let draw = RefCell::new(Draw::new(seed, Stream::Clients));
-        Rc::new(Crowd { stage, crew, seed, draw, idle, tries: Cell::new(0) })
+        // Another rehearsal may take a port that this one has let go: its commands must not be taken for ours.
+        let tries = Cell::new(u64::from(std::process::id()) << 32);
+        Rc::new(Crowd { stage, crew, seed, draw, idle, tries }
     }
 
     /// Plays all arrivals to their ends. Returns by how many microseconds each went out late.
--- a/crates/rehearsal/src/real/ports.rs
+++ b/crates/rehearsal/src/real/ports.rs
@@ -9,7 +9,9 @@
 
 /// Two rehearsals on one machine start at different places, or they would meet at every port.
 fn start() -> u16 {
-    (std::process::id() % 200) as u16 * 70
+    // Those that were started one after the other are an eighth of all ports apart.
+    let process = std::process::id();
+    (process % 8) as u16 * (COUNT / 8) + (process / 8 % 25) as u16 * 70
 }
 
 /// A listener on a port that nobody in this process has been given before.
