--- a/crates/rehearsal/src/real/clients.rs
+++ b/crates/rehearsal/src/real/clients.rs
@@ -50,7 +50,7 @@
         let draw = RefCell::new(Draw::new(seed, Stream::Clients));
         // Another rehearsal may take a port that this one has let go: its commands must not be taken for ours.
         let tries = Cell::new(u64::from(std::process::id()) << 32);
-        Rc::new(Crowd { stage, crew, seed, draw, idle, tries }
+        Rc::new(Crowd { stage, crew, seed, draw, idle, tries })
     }
 
     /// Plays all arrivals to their ends. Returns by how many microseconds each went out late.
