Wait for the call for the list that is out before calling where discovery has moved

Cause: discovery works through calls in turn, also through those given up. A new configuration that moved discovery dropped the call that waited at the former address and made another: two places in the queue for each of six nodes, 4.3 s of work at 0.36 s a call, and the first one answered nobody.

Change: a call that waits at a former address is waited for (1.5 s at most, as long as that address serves), and only then is the present address called, once, however many configurations came meanwhile; a watch at a former address goes on until the present one has answered. The watches move to a module of their own.

Test first: a_call_that_waits_outlives_a_move_of_discovery failed on ('waited in vain: the list is known', 20 s, one and three moves); a_former_address_that_hangs_is_not_waited_for passed there. Suites of the node and the decisions passed.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 mod lengths;
 mod limits;
 mod list;
+mod list_watches;
 mod log;
 mod message_reader;
 mod names;
@@ -96,7 +97,7 @@
     let room = bodies::Room::new(limits.held_bytes);
     let pool = Rc::new(pool::Pool::new(limits.clone(), room.clone()));
 
-    let mut lister = list::Lister { desk: desk.clone(), limits: limits.clone(), index: 0 };
+    let lister = list::Lister::new(desk.clone());
     if let Some(Err(why)) = start.known.map(|known| lister.told(&known, true)) {
         return Err(format!("known: {why}"));
     }
@@ -168,7 +169,8 @@
         // Where the list comes by itself, on sockets that is a watch from the start.
         let _ = follow.send(());
     }
-    spawn_local(lister.run(followed, discovery));
+    let watches = list_watches::Watches::new(lister, desk.clone(), limits.clone());
+    spawn_local(watches.run(followed, discovery));
 
     let prober = probe::Prober { desk: desk.clone(), pool: pool.clone(), limits: limits.clone() };
     let (pool_of_errands, kept) = (pool.clone(), desk.clone());
--- a/crates/node/tests/list_calls.rs
+++ b/crates/node/tests/list_calls.rs
@@ -222,3 +222,61 @@
     until_known(&world);
     assert!(ended.elapsed() < Duration::from_secs(2), "{:?}", ended.elapsed());
 }
+
+/// A new configuration moved discovery while a call waited there: the call was given up, kept its place in the queue all
+/// the same, and the node had no news until the new address had worked through that queue.
+#[test]
+fn a_call_that_waits_outlives_a_move_of_discovery() {
+    scope(|all| {
+        for moves in [1, 3] {
+            all.spawn(move || {
+                let (mut world, discovery) = watching_node(6);
+                let waits = Duration::from_millis(1200);
+                discovery.with(|state| state.answers = Answers::Watch(waits));
+                let ended = Instant::now();
+                let before = discovery.calls();
+                discovery.reset_watches(without_the_first(&world));
+                until("a call that waits", || discovery.calls() > before);
+                let list = whole_list(5, &world.entries);
+                let next: Vec<_> = (0..moves).map(|_| Discovery::start(list.clone())).collect();
+                for discovery in &next {
+                    discovery.with(|state| state.answers = Answers::Watch(Duration::from_secs(2)));
+                    move_discovery(&mut world, discovery);
+                }
+                until_known(&world);
+                assert!(
+                    ended.elapsed() < waits + Duration::from_millis(800),
+                    "{moves}: {:?}",
+                    ended.elapsed()
+                );
+                let (last, passed) = next.split_last().expect("a move");
+                last.with(|state| state.list = without_the_first(&world));
+                until("a watch at the new address", || last.with(|state| !state.watches.is_empty()));
+                let calls: Vec<_> = next.iter().map(Discovery::calls).collect();
+                assert_eq!(calls, [vec![0; passed.len()], vec![1]].concat(), "one call, at the last address");
+            });
+        }
+    });
+}
+
+/// A former address that neither answers nor ends the call holds up the call at the present one for no longer than the
+/// protocol has it serve.
+#[test]
+fn a_former_address_that_hangs_is_not_waited_for() {
+    let (mut world, discovery) = watching_node(6);
+    discovery.with(|state| state.answers = Answers::Watch(Duration::from_secs(10)));
+    let before = discovery.calls();
+    discovery.reset_watches(whole_list(5, &world.entries));
+    until("a call that hangs", || discovery.calls() > before);
+    let next = Discovery::start(without_the_first(&world));
+    move_discovery(&mut world, &next);
+    let moved = Instant::now();
+    until_known(&world);
+    assert!(moved.elapsed() < Duration::from_millis(2300), "{:?}", moved.elapsed());
+}
+
+fn move_discovery(world: &mut World, discovery: &Discovery) {
+    let mut config = world.config.clone();
+    config["discovery"] = discovery.at.to_string().into();
+    assert!(world.reload(&config.to_string()).contains(&discovery.at.to_string()));
+}
