Send nothing by a list that no longer holds while discovery's answer is awaited

Cause: the node knew when its watch had ended and when its configuration had come, and never compared what these bind it to with its sends.

Change: ListAge knows from when on unheard news binds (2 s after a watch's end, 6 s after its last message where it fell silent, 4 s after a move of discovery); once the grace after that is over, less 0.15 s for a process held up before its write, commands are held for the answer, as far as their time allows, and launches that wait for a connection are not written. A call that fails ends this: discovery is down, and the list serves on (a_list_serves_on_while_discovery_is_down).

--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -396,6 +396,11 @@
         }
     }
 
+    /// From then on news that this node has not heard counts as known to it; none while nothing is missed.
+    pub fn list_binds_from(&self, binds: Option<Moment>) {
+        self.ask(|inner, _| inner.module.list_binds_from(binds));
+    }
+
     /// Whether there is a list to go by, an old one too.
     pub fn told(&self) -> bool {
         self.told.get()
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 mod lengths;
 mod limits;
 mod list;
+mod list_age;
 mod list_watches;
 mod log;
 mod message_reader;
--- a/crates/node/src/list_watches.rs
+++ b/crates/node/src/list_watches.rs
@@ -7,6 +7,7 @@
 use crate::desk::Desk;
 use crate::limits::Limits;
 use crate::list::Lister;
+use crate::list_age::ListAge;
 use crate::log::note;
 use crate::message_reader::MessageReader;
 use crate::transport::Transport;
@@ -17,7 +18,7 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -26,6 +27,7 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 use yarrowfront::decide::ListKind;
+use yarrowfront::times::Moment;
 
 /// From a failed call at the present address to the next one, while a watch at a former address is still open.
 const RETRY_BESIDE_FORMER: Duration = Duration::from_millis(1000);
@@ -37,8 +39,8 @@
 
 /// How a call or its watch ends.
 enum End {
-    /// No message has come for longer than its beats are apart.
-    Silent,
+    /// No message has come for longer than its beats are apart, since then.
+    Silent(Moment),
     Failed(String),
 }
 
@@ -59,6 +61,7 @@
     lister: Lister,
     desk: Rc<Desk>,
     limits: Rc<Limits>,
+    age: RefCell<ListAge>,
     /// Discovery's address, as the configuration has it, and the address of the newest call.
     present: Cell<Option<SocketAddr>>,
     called: Cell<Option<SocketAddr>>,
@@ -79,9 +82,9 @@
 
 impl Watches {
     pub fn new(lister: Lister, desk: Rc<Desk>, limits: Rc<Limits>) -> Rc<Watches> {
-        let (present, called, newest) = Default::default();
+        let (age, present, called, newest) = Default::default();
         let (answered, answer) = Default::default();
-        Rc::new(Watches { lister, desk, limits, present, called, newest, answered, answer })
+        Rc::new(Watches { lister, desk, limits, age, present, called, newest, answered, answer })
     }
 
     /// Calls whenever the module wants the list followed or discovery has moved, and tells the module how that ends.
@@ -123,6 +126,7 @@
 
     /// Discovery has moved: calls it there, at once unless a call still waits for its answer.
     fn moved(self: &Rc<Self>, open: &mut Open) {
+        self.change_age(|age, now| age.discovery_moved(now));
         let waits = open.handles.contains_key(&self.newest.get()) && self.newest.get() > self.answered.get();
         if !waits {
             self.call(open);
@@ -153,16 +157,25 @@
             return;
         }
         let (newest, elsewhere) = (call == self.newest.get(), self.call_is_due_elsewhere());
-        let kind = match end {
-            End::Silent => {
+        let was_answered = call == self.answered.get();
+        let kind = match &end {
+            End::Silent(_) => ListKind::Silent,
+            End::Failed(_) => ListKind::Failed,
+        };
+        match end {
+            End::Silent(since) => {
                 note!("list: the watch has ended: no line for a beat and a half");
-                ListKind::Silent
+                self.change_age(|age, _| age.watch_silent(since));
             }
             End::Failed(why) => {
                 note!("list: the watch has ended: {why}");
-                ListKind::Failed
+                if was_answered {
+                    self.change_age(|age, now| age.watch_ended(now));
+                } else if newest && !elsewhere {
+                    self.change_age(|age, _| age.call_failed());
+                }
             }
-        };
+        }
         if newest && elsewhere {
             self.call(open);
         } else if open.handles.is_empty() {
@@ -173,6 +186,15 @@
         }
     }
 
+    fn change_age(&self, change: impl FnOnce(&mut ListAge, Moment)) {
+        let binds = {
+            let mut age = self.age.borrow_mut();
+            change(&mut age, self.desk.clock.now());
+            age.binds_from()
+        };
+        self.desk.list_binds_from(binds);
+    }
+
     async fn watch(&self, call: CallNumber, discovery: SocketAddr) -> End {
         match self.connect_and_read(call, discovery).await {
             Ok(()) => "closed by discovery".into(),
@@ -212,21 +234,21 @@
             return Err(format!("answered {}", response.status()).into());
         }
         note!("list: {discovery} accepts the watch after {} ms", asked.elapsed().as_millis());
-        let (mut body, mut reader, mut heard) = (response.into_body(), MessageReader::default(), false);
+        let (mut body, mut reader, mut heard) = (response.into_body(), MessageReader::default(), None);
         loop {
             // A cut network says nothing at all: silence is the only sign.
             let frame = timeout_at(beat, body.frame()).await;
-            let frame = frame.map_err(|_| if heard { End::Silent } else { "no line in time".into() })?;
+            let frame = frame.map_err(|_| heard.map_or_else(|| "no line in time".into(), End::Silent))?;
             let frame = frame.ok_or("closed by discovery")?.map_err(|e| e.to_string())?;
             reader.push(frame.data_ref().map_or(&[][..], |d| d));
             // Part of a message proves nothing: whoever is cut off in it has fallen silent.
             while let Some(message) = reader.next() {
                 beat = Instant::now() + self.limits.beat_wait;
-                self.take(message.trim_ascii(), !heard);
-                if !heard {
-                    self.first_message(call, asked);
+                self.take(message.trim_ascii(), heard.is_none());
+                if heard.is_none() {
+                    self.first_message(call, discovery, asked);
                 }
-                heard = true;
+                heard = Some(self.desk.clock.now());
             }
             if reader.unfinished() > 0 {
                 note!("list: {} bytes of a message are here and its end is not", reader.unfinished());
@@ -247,11 +269,12 @@
     }
 
     /// The call has been answered: whatever was called before it is closed.
-    fn first_message(&self, call: CallNumber, asked: Instant) {
+    fn first_message(&self, call: CallNumber, discovery: SocketAddr, asked: Instant) {
         let waited = asked.elapsed().as_millis();
         note!("list: version {} is known {waited} ms after the call", self.lister.index());
         self.answered.set(self.answered.get().max(call));
         self.answer.notify_one();
+        self.change_age(|age, _| age.answered(self.present.get() == Some(discovery)));
     }
 
     fn take(&self, line: &[u8], first: bool) {
--- a/crates/node/tests/list_calls.rs
+++ b/crates/node/tests/list_calls.rs
@@ -280,3 +280,48 @@
     config["discovery"] = discovery.at.to_string().into();
     assert!(world.reload(&config.to_string()).contains(&discovery.at.to_string()));
 }
+
+/// A crowded discovery answered after what the end of a watch hides had begun to bind: the node went on sending by its old
+/// list, also to a backend that drained.
+#[test]
+fn nothing_is_sent_by_a_list_that_no_longer_holds() {
+    const COUNTS_AS_KNOWN: Duration = Duration::from_millis(2000);
+    const BINDS_FROM: Duration = Duration::from_millis(2300);
+    let (mut world, discovery) = watching_node(6);
+    let mut config = world.config.clone();
+    config["discovery"] = discovery.at.to_string().into();
+    config["settings"]["guarantees"]["drainGrace"] = 300_000_000.into();
+    assert!(world.reload(&config.to_string()).starts_with("reload: discovery"));
+    discovery.with(|state| state.answers = Answers::Watch(Duration::from_millis(3000)));
+    let ended = Instant::now();
+    discovery.reset_watches(without_the_first(&world));
+    let mut answered = (0, 0);
+    while ended.elapsed() < Duration::from_millis(3600) {
+        let binds = ended.elapsed() >= BINDS_FROM;
+        let sent = launches_at(&world, 0);
+        let status = world.command("read").status();
+        let holds = ended.elapsed() < COUNTS_AS_KNOWN;
+        assert!(status == 200 || !holds && status == 503, "{status} after {:?}", ended.elapsed());
+        assert!(!binds || launches_at(&world, 0) == sent, "sent after {:?}", ended.elapsed());
+        answered = match (binds, status) {
+            (false, _) => (answered.0 + 1, answered.1),
+            (true, 200) => (answered.0, answered.1 + 1),
+            _ => answered,
+        };
+    }
+    assert!(answered.0 > 0 && answered.1 > 0, "served before and after: {answered:?}");
+    until_known(&world);
+}
+
+/// Where discovery cannot be reached, or fails each call, the list serves on as it is known.
+#[test]
+fn a_list_serves_on_while_discovery_is_down() {
+    let (world, discovery) = watching_node(6);
+    discovery.with(|state| state.answers = Answers::Unavailable(Duration::from_millis(50)));
+    let ended = Instant::now();
+    discovery.reset_watches(without_the_first(&world));
+    while ended.elapsed() < Duration::from_secs(8) {
+        assert_eq!(world.command("read").status(), 200, "after {:?}", ended.elapsed());
+        sleep(Duration::from_millis(20));
+    }
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -70,8 +70,13 @@
     probes: f64,
     probe_trip: f64,
     list_calls: ListCalls,
+    /// From then on nothing is sent by the list as it is known: news that has not arrived binds this node.
+    list_holds_until: Moment,
 }
 
+/// A process may be held up for so long between its decision and its write.
+const HOLD_UP: Span = Span::millis(150);
+
 /// The proposal's expiry and exploring share.
 const TOKEN_EXPIRY: Span = Span::millis(2000);
 const EXPLORE: f64 = 0.1;
@@ -142,6 +147,7 @@
             margin: 1.6,
             open: 1.0,
             lasts: f64::INFINITY,
+            list_holds_until: Moment(u64::MAX),
             ..Balancer::default()
         };
         node.fill = MEAN;
@@ -169,6 +175,9 @@
         if self.granted_at(now, command) > now {
             return self.anew(now, hand, command); // held, and what it was held for is spent
         }
+        if now >= self.list_holds_until {
+            return self.hold(now, hand, command);
+        }
         let chosen = self.choose(now, command);
         if self.ask_first(now, hand, command, chosen) {
             return Say::NotYet;
@@ -277,6 +286,16 @@
         self.arrange();
     }
 
+    /// News that this node has not heard counts as known to it from then on; none once it has been heard, or while
+    /// discovery is down: then the list serves on. Until the grace is over commands go by the list as it is known, and from
+    /// then on they are held for its answer. Without effect where the list is pushed.
+    pub fn list_binds_from(&mut self, binds: Option<Moment>) {
+        let grace = Span(self.terms.drain_grace.0.saturating_sub(HOLD_UP.0));
+        let binds = binds.filter(|_| self.terms.must_ask);
+        self.list_holds_until = binds.map_or(Moment(u64::MAX), |at| at + grace);
+        self.wake_next();
+    }
+
     /// Leaves a backend out whatever the list says of it, or uses it again: then it is cold, all learned is
     /// void. Its token comes before all others until it is used, as nothing else need tell of it soon.
     pub fn maint(&mut self, now: Moment, backend: BackendId, out: bool) {
@@ -298,7 +317,12 @@
         let (bounds, launch) = (self.bounds(command, Some(n)), command.launches().nth(usize::from(n)));
         let there = launch.and_then(|launch| self.index.get(&launch.backend)).is_some_and(|&i| self.takes(i));
         let ends = if command.coming { Moment(u64::MAX) } else { command.ends };
-        Moment(if bounds.launch && there { bounds.until.min(ends).0 } else { 0 })
+        let until = bounds.until.min(ends).min(self.list_holds_until);
+        if bounds.launch && there {
+            until
+        } else {
+            Moment(0)
+        }
     }
 
     pub fn is_left_out(&self, backend: BackendId) -> bool {
@@ -995,7 +1019,9 @@
                 command.look_at = if self.terms.may_probe { latest.min(look) } else { latest };
                 return Say::NotYet;
             }
-            self.close(1.0);
+            if now < self.list_holds_until {
+                self.close(1.0);
+            }
             return self.give_up(command);
         }
         if now + wait >= latest {
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -72,6 +72,8 @@
     pub warm_within: Span,
     pub push_over_multiple: f64,
     pub push_over_span: Span,
+    /// For so long after it is known that a backend drains or is gone, it may still be sent to.
+    pub drain_grace: Span,
     /// Where one is stated.
     pub budget: Option<Budget>,
     /// A backend that says that it is full may have run the command all the same.
@@ -227,6 +229,7 @@
             warm_within: Span(rules.at("warmWithin")?.span()?.0 + 1),
             push_over_multiple: rules.at("tipMultiple")?.number(0.0, HUGE)?,
             push_over_span: rules.at("fall")?.span()?,
+            drain_grace: rules.maybe("drainGrace").map_or(Ok(Span(0)), |key| key.span())?,
             budget: budget(&rules)?,
             full_may_have_run: rule("mayShedBegun")?,
             only_draining_binds: rule("removalNotBinding")?,
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -105,6 +105,41 @@
     }
 }
 
+/// Rule 3: news that has not arrived binds this node all the same once the grace is over, less the time for which a process
+/// may be held up. What is placed then waits for the answer, and what waits for its connection is not written.
+#[test]
+fn nothing_is_sent_by_a_list_that_no_longer_holds() {
+    let cases = [
+        ("ask", 500, 849, true),
+        ("ask", 500, 850, false),
+        ("ask", 100, 500, false),
+        ("push", 500, 900, true),
+    ];
+    for (discovery, grace, after, sends) in cases {
+        let case = format!("{discovery}, {grace}, {after}");
+        let mut bench = Bench::with(1, |t| {
+            t["discovery"] = discovery.into();
+            t["guarantees"]["drainGrace"] = (grace * 1_000_000).into();
+        });
+        bench.list_groups(&[(1, 1), (2, 1)]);
+        let mut waits = bench.command(0);
+        assert!(matches!(bench.place(&mut waits), Say::Launch(_)), "{case}");
+        bench.node.list_binds_from(Some(bench.now + Span::millis(500)));
+        bench.later(after);
+        let mut command = bench.command(0);
+        waits.ends = command.ends;
+        assert_eq!(bench.node.stands(&waits, 0) > bench.now, sends, "{case}");
+        assert_eq!(matches!(bench.place(&mut command), Say::Launch(_)), sends, "{case}");
+        if sends {
+            continue;
+        }
+        assert!(!command.closed, "{case}: held for the answer");
+        bench.node.list_binds_from(None);
+        assert!(bench.errands().iter().any(|errand| matches!(errand, Errand::Again(_))), "{case}");
+        assert!(matches!(bench.place(&mut command), Say::Launch(_)), "{case}");
+    }
+}
+
 /// Rule 4: a backend at a fifth of its capacity, and four nodes that all find it.
 #[test]
 fn a_cold_backend_gets_this_nodes_part() {
