Try a class that has not been met on any idle backend, by a guess of its own goal time

Callers saw: the first requests of a class with a short goal time refused (503) within milliseconds, by idle backends, until the node had sent nothing at all for a second; beside other traffic for as long as that went on.

Cause: an unmet class was taken to need a tenth of the longest goal time of any class, at a pace learned of other classes. By a dump of the module's figures at each refusal: rows [(3036 us, 180 answers), (400000, 0), (400000, 0)], idle backends with a token at paces of 1.14 to 1.39, 450 ms left: 400 ms x 1.14 does not fit. Sister: the first answer set the class to the usual work of all, 600 ms for one that took 10.

Change: the first guess is a tenth of the class's own goal time, also where a switch of settings brings the class; a class without an answer is tried on an idle backend whatever is guessed; the first answer does not make it heavier than both that answer and the guess say.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -101,12 +101,12 @@
     }
 
     /// Takes in the work of one command more, and its hint. A node among many sees few answers of a profile:
-    /// a new one starts from the usual work, and its first answers count as if four had come before. False
-    /// for the first, which tells no more than that.
+    /// a new one starts from the usual work, unless its first answer and its goal time both speak for less, and
+    /// its first answers count as if four had come before. False for the first, which tells no more than that.
     pub(crate) fn learn(&mut self, work: f64, usual: f64, hint: Option<f64>) -> bool {
         self.answers += 1.0;
         if self.answers == 1.0 {
-            self.mean = usual;
+            self.mean = usual.min(work.max(self.mean));
             self.hint = hint.unwrap_or(0.0);
             return false;
         }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -130,12 +130,17 @@
 /// And within the goal time where the first is called off for the second: nothing is doubled.
 const CALLED_OFF: f64 = 7.0;
 
+/// What a command of a profile is taken to need until an answer tells, of its goal time.
+const FIRST_GUESS: f64 = 0.1;
+
+fn first_guess(profile: &Profile) -> f64 {
+    FIRST_GUESS * profile.goal_time.micros()
+}
+
 impl Balancer {
     pub fn new(terms: Terms, seed: u64, now: Moment) -> Balancer {
-        // Until an answer tells, a command is taken to need a tenth of its goal time: that is tried anywhere.
-        let goal = terms.profiles.iter().map(|p| p.goal_time.micros()).fold(0.0, f64::max);
-        let usual = 0.1 * goal;
-        let rows = terms.profiles.iter().map(|_| Row::new(usual)).collect();
+        let rows: Vec<_> = terms.profiles.iter().map(|profile| Row::new(first_guess(profile))).collect();
+        let usual = rows.iter().map(|row| row.mean).fold(0.0, f64::max);
         let mut node = Balancer {
             terms,
             chance: Chance::new(seed),
@@ -349,8 +354,8 @@
     /// command ends by what it came in under; what is known of backends, and what is out there, stays.
     pub fn switch(&mut self, terms: Terms) {
         self.terms = terms;
-        let usual = self.usual;
-        self.rows.resize_with(self.terms.profiles.len(), || Row::new(usual));
+        let new = self.terms.profiles.iter().skip(self.rows.len());
+        self.rows.extend(new.map(|profile| Row::new(first_guess(profile))));
         self.arrange();
     }
 
@@ -796,17 +801,24 @@
         let cost = self.cost(command);
         let left = self.goal_end(command).since(now).micros();
         // With nothing ahead there is no better place for it: only a backend late as a rule is left out.
-        let idle = b.in_flight == 0 && b.ghost_left(now) == 0.0 && self.others(now, b) < 0.5;
+        let idle = self.idle(now, b);
         // With many nodes an own count of zero is no sign of idleness: most of the margin then, from two on.
         let fits = if idle {
             let doubt = self.margin.powf(0.7 - 1.4 / f64::from(self.terms.nodes.max(2)));
-            self.rows[usize::from(command.profile.0)].mean * self.pace(now, b) * doubt <= left
+            let row = &self.rows[usize::from(command.profile.0)];
+            // Only an answer tells what a profile needs, so one that has had none is tried.
+            row.answers == 0.0 || row.mean * self.pace(now, b) * doubt <= left
         } else {
             self.expected(now, b, cost) * self.margin <= left
         };
         fits && self.pour(now, b, cost).is_some()
     }
 
+    /// Whether nothing is ahead there, for all that is known of it.
+    fn idle(&self, now: Moment, b: &Backend) -> bool {
+        b.in_flight == 0 && b.ghost_left(now) == 0.0 && self.others(now, b) < 0.5
+    }
+
     /// The share of its capacity that a backend has at least, so long after its start.
     fn warmth(&self, now: Moment, started: Moment) -> f64 {
         if started == Moment(0) {
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -3,7 +3,7 @@
 mod help;
 
 use help::{Bench, GOAL};
-use serde_json::json;
+use serde_json::{json, Value};
 use yarrowfront::command::Command;
 use yarrowfront::command::Outcome::{self, *};
 use yarrowfront::decide::{Errand, ListKind, Say, State};
@@ -140,6 +140,72 @@
     }
 }
 
+/// The terms of a class that is repeatable like the first, with a goal time of its own.
+fn class(settings: &Value, goal_millis: u64) -> Value {
+    let mut class = settings["profiles"][0].clone();
+    class["goalTime"] = (goal_millis * 1_000_000).into();
+    class["timeLimit"] = (goal_millis * 2_000_000).into();
+    class
+}
+
+/// Commands of a class, one after another on idle backends, each answered after so long: how many were not launched.
+fn not_launched(bench: &mut Bench, class: u16, count: usize, takes: u64) -> usize {
+    let mut refused = 0;
+    for _ in 0..count {
+        let mut command = bench.command(class);
+        command.ends = command.arrived + Span::millis(8000);
+        if matches!(bench.place(&mut command), Say::Launch(_)) {
+            bench.finish(&mut command, takes);
+        } else {
+            bench.node.dropped(&mut command);
+            bench.later(1);
+            refused += 1;
+        }
+    }
+    refused
+}
+
+/// So many commands of the first class at once, each answered after so long.
+fn keep_all_busy(bench: &mut Bench, commands: usize, takes: u64) {
+    let mut out: Vec<_> = (0..commands).map(|_| bench.command(0)).collect();
+    for command in &mut out {
+        command.ends = command.arrived + Span::millis(8000);
+        assert!(matches!(bench.place(command), Say::Launch(_)));
+    }
+    bench.later(takes);
+    out.iter_mut().for_each(|command| bench.finish(command, 0));
+}
+
+/// A class that had not been met was taken to need a tenth of the longest goal time of any class, at a pace that had been
+/// learned of others, and was refused by idle backends until the node had sent nothing for a second.
+#[test]
+fn a_class_not_met_before_is_tried_on_an_idle_backend() {
+    for (long, short, known_takes, balancers) in [
+        (4000, 200, 100, 1),
+        (4000, 200, 100, 300),
+        (4000, 4000, 100, 1),
+        (4000, 200, 600, 1),
+        (1000, 50, 20, 2),
+    ] {
+        let case = format!("{long}, {short}, {known_takes}, {balancers}");
+        let settings = |t: &mut Value| {
+            t["balancers"] = balancers.into();
+            t["profiles"] = json!([class(t, long), class(t, short)]);
+        };
+        let mut bench = Bench::with(3, settings);
+        bench.list_groups(&[(1, 1), (2, 1), (3, 1), (4, 1), (5, 1), (6, 1)]);
+        (0..10).for_each(|_| keep_all_busy(&mut bench, 6, known_takes));
+        assert_eq!(not_launched(&mut bench, 1, 60, short / 20), 0, "{case}");
+        let mut switched = help::terms();
+        settings(&mut switched);
+        let third = class(&switched, short);
+        switched["profiles"].as_array_mut().expect("profiles").push(third);
+        bench.node.switch(Terms::from_json(switched.to_string().as_bytes()).expect("good settings"));
+        keep_all_busy(&mut bench, 6, known_takes);
+        assert_eq!(not_launched(&mut bench, 2, 60, short / 20), 0, "{case}, new in the settings");
+    }
+}
+
 /// Rule 4: a backend at a fifth of its capacity, and four nodes that all find it.
 #[test]
 fn a_cold_backend_gets_this_nodes_part() {
