Try a class again that was slow once, and that others' traffic kept refused

A class whose answers had taken longer than its goal time was refused by idle backends for good, as long as other classes were sent something.

Cause: what a class is taken to need is learned of its answers alone. Past its goal time no backend has room for it, so no answer comes and nothing is learned; the node's own chance after a second without a launch never comes while others are launched.

Change: a class that is taken to need more than its goal time and has been sent nowhere for that long goes to an idle backend, and what was learned of it counts as no more than one answer from then on.

Test first: a_class_that_was_slow_once_is_tried_again failed before (refused for longer than its 200 ms).

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -89,6 +89,8 @@
 pub(crate) struct Row {
     pub(crate) mean: f64,
     pub(crate) answers: f64,
+    /// When a command of it was last sent anywhere.
+    pub(crate) launched_at: Moment,
     /// Mean and spread of the hints, and how work goes along with them.
     pub(crate) hint: f64,
     pub(crate) spread: f64,
@@ -97,7 +99,12 @@
 
 impl Row {
     pub(crate) fn new(mean: f64) -> Row {
-        Row { mean, answers: 0.0, hint: 0.0, spread: 0.0, along: 0.0 }
+        Row { mean, answers: 0.0, launched_at: Moment(0), hint: 0.0, spread: 0.0, along: 0.0 }
+    }
+
+    /// What was learned counts as no more than one answer from now on.
+    pub(crate) fn learn_anew(&mut self) {
+        self.answers = self.answers.min(1.0);
     }
 
     /// Takes in the work of one command more, and its hint. A node among many sees few answers of a profile:
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -699,6 +699,16 @@
                 b.bad < 0.3 && self.allowed(i, command) && self.pour(now, b, cost).is_some()
             }));
         }
+        if pool.is_empty() && first && self.is_due_again(now, command) {
+            self.rows[usize::from(command.profile.0)].learn_anew();
+            pool.extend(ready[..reach].iter().copied().filter(|&i| {
+                let b = &self.backends[i];
+                b.bad < 0.3
+                    && self.idle(now, b)
+                    && self.allowed(i, command)
+                    && self.pour(now, b, self.cost(command)).is_some()
+            }));
+        }
         if self.terms.warm_keys && command.key != 0 && !(explore && self.counts()) {
             self.keep_warm(command, &mut pool, ready.len());
         }
@@ -819,6 +829,14 @@
         b.in_flight == 0 && b.ghost_left(now) == 0.0 && self.others(now, b) < 0.5
     }
 
+    /// Whether a profile is taken to need more than its goal time wherever it is sent, and has been sent nowhere for that
+    /// long: what was learned of it may be old, and only another answer can tell.
+    fn is_due_again(&self, now: Moment, command: &Command) -> bool {
+        let row = &self.rows[usize::from(command.profile.0)];
+        let goal = self.profile(command).goal_time;
+        row.mean * self.margin > goal.micros() && now.since(row.launched_at) >= goal
+    }
+
     /// The share of its capacity that a backend has at least, so long after its start.
     fn warmth(&self, now: Moment, started: Moment) -> f64 {
         if started == Moment(0) {
@@ -934,6 +952,7 @@
         b.poured = level;
         b.poured_at = now;
         self.launched_at = now;
+        self.rows[usize::from(command.profile.0)].launched_at = now;
         command.add(Launch {
             backend: b.listed.backend,
             zone: b.listed.zone,
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -206,6 +206,32 @@
     }
 }
 
+/// A class whose first answers took longer than its goal time was refused for good: while others were sent nothing more was
+/// learned of it. It is tried again within its goal time where a backend is idle.
+#[test]
+fn a_class_that_was_slow_once_is_tried_again() {
+    let mut bench = Bench::with(3, |t| t["profiles"] = json!([class(t, 4000), class(t, 200)]));
+    bench.list_groups(&[(1, 1), (2, 1), (3, 1), (4, 1)]);
+    (0..10).for_each(|_| keep_all_busy(&mut bench, 4, 10));
+    for _ in 0..60 {
+        not_launched(&mut bench, 1, 1, 900);
+        bench.later(1100);
+    }
+    let (mut refused_since, mut refused) = (None, 0);
+    for _ in 0..400 {
+        keep_all_busy(&mut bench, 4, 10);
+        let before = bench.now;
+        if not_launched(&mut bench, 1, 1, 10) == 0 {
+            refused_since = None;
+            continue;
+        }
+        refused += 1;
+        let since = *refused_since.get_or_insert(before);
+        assert!(bench.now.since(since) <= Span::millis(200 + 20), "refused for {:?}", bench.now.since(since));
+    }
+    assert!(refused < 100, "{refused} of 400 refused");
+}
+
 /// Rule 4: a backend at a fifth of its capacity, and four nodes that all find it.
 #[test]
 fn a_cold_backend_gets_this_nodes_part() {
