Let a command that is answered while it is held for a second launch leave its place

Callers saw: now and then a request that waited for all of its time beside idle backends and was refused at its end (503 after 444 to 453 ms, of 450), and more refusals at once, as the wait was taken for longer. It lasted until the node was restarted.

Cause: a launch that is written off within the goal time has its command held for another one. When the first answer then came, the command was closed, and leave() takes only unanswered ones off the held: its entry stayed. It is the oldest, so that each backend that came free was offered to it and nobody behind it was woken; one entry more each time.

Evidence: the module's figures at the refusal (a copy that writes them): one held more than there are, 118 answers of others while it waited, then 178 ms with nothing out.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -208,6 +208,9 @@
         let not_run = outcome.proves_not_run(self.terms.full_may_have_run);
         launch.fate = if not_run { Fate::NotRun } else { Fate::MayHaveRun };
         let launch = *launch;
+        if command.closed || outcome == Outcome::Finished {
+            self.unhold(command); // it may have been held for a second launch
+        }
         self.learn(now, command, &launch, outcome);
         self.wake_next();
         if command.closed || outcome == Outcome::Finished || command.awaited().is_some() {
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -7,7 +7,7 @@
 use yarrowfront::command::Command;
 use yarrowfront::command::Outcome::{self, *};
 use yarrowfront::decide::{Errand, ListKind, Say, State};
-use yarrowfront::ids::BackendId;
+use yarrowfront::ids::{BackendId, Hand};
 use yarrowfront::terms::Terms;
 use yarrowfront::times::Span;
 
@@ -232,6 +232,34 @@
     assert!(refused < 100, "{refused} of 400 refused");
 }
 
+/// A command that was held for a second launch when its first one was answered kept its place among the held for good: each
+/// backend that came free was offered to it, and no command held behind it was woken any more.
+#[test]
+fn an_answer_frees_the_place_of_a_command_that_is_held() {
+    let mut bench = Bench::with(1, |t| t["profiles"] = json!([class(t, 4000)]));
+    bench.warm_up_costs();
+    bench.list_groups(&[(1, 1), (2, 1)]);
+    let place = |bench: &mut Bench| {
+        let mut command = bench.command(0);
+        command.ends = command.arrived + Span::millis(8000);
+        (bench.place(&mut command), command)
+    };
+    let (say, mut first) = place(&mut bench);
+    assert!(matches!(say, Say::Launch(_)));
+    bench.later(480);
+    assert!(matches!(place(&mut bench).0, Say::Launch(_)));
+    while !first.launches().any(|launch| launch.lost) {
+        bench.later(5);
+        assert_eq!(bench.place(&mut first), Say::NotYet, "the other backend is busy");
+    }
+    let (say, behind) = place(&mut bench);
+    assert_eq!(say, Say::NotYet, "both backends are busy");
+    bench.errands();
+    first.closed = true;
+    bench.after(&mut first, 0, Finished);
+    assert!(bench.errands().contains(&Errand::Again(Hand(behind.id.0))));
+}
+
 /// Rule 4: a backend at a fifth of its capacity, and four nodes that all find it.
 #[test]
 fn a_cold_backend_gets_this_nodes_part() {
