Take a class that has not been met to need no more than is usual once it has waited

Cause: a held command is let go when the time that it needs after the wait is not left, and for an unmet class that time is a guess. Change: the usual work bounds that guess there. What is held against launches that are lost stays as large as it was. Test first: a_class_not_met_before_waits_for_a_backend failed before (TurnBack).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -588,6 +588,13 @@
         (row.mean + slope * (hint.micros() - row.hint)).clamp(0.2 * row.mean, 4.0 * row.mean)
     }
 
+    /// The same where too much would have it refused: of a profile that has not been met no more than the usual work.
+    fn least_cost(&self, command: &Command) -> f64 {
+        let met = self.rows[usize::from(command.profile.0)].answers > 0.0;
+        let most = if met { f64::MAX } else { self.usual };
+        self.cost(command).min(most)
+    }
+
     /// Where this command may still go: everywhere, or for a tagged one that may have run, where and until.
     fn bounds(&self, command: &Command, but: Option<u8>) -> Bounds {
         let profile = self.profile(command);
@@ -1043,7 +1050,7 @@
         }
         let ahead = self.held.len() - self.standing(command);
         // A held command starts with nothing ahead of it: it needs less than one sent to stand behind others.
-        let need = Span((self.cost(command) * self.margin.sqrt()) as u64);
+        let need = Span((self.least_cost(command) * self.margin.sqrt()) as u64);
         let latest = (self.goal_end(command) - need).min(self.bounds(command, None).until);
         let wait = Span(((ahead + 1) as f64 / self.rate(now).max(1e-9)) as u64);
         if command.waiting {
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -206,6 +206,22 @@
     }
 }
 
+/// A command of a class not met before was refused at once where all backends were busy for a moment and its client had
+/// less left than was guessed.
+#[test]
+fn a_class_not_met_before_waits_for_a_backend() {
+    let mut bench = Bench::with(3, |t| t["profiles"] = json!([class(t, 4000), class(t, 4000)]));
+    bench.list_groups(&[(1, 1), (2, 1)]);
+    (0..10).for_each(|_| keep_all_busy(&mut bench, 2, 10));
+    let mut busy = [bench.command(0), bench.command(0)];
+    busy.iter_mut().for_each(|command| assert!(matches!(bench.place(command), Say::Launch(_))));
+    let mut command = bench.command(1);
+    command.ends = command.arrived + Span::millis(300);
+    assert_eq!(bench.place(&mut command), Say::NotYet);
+    bench.finish(&mut busy[0], 10);
+    assert!(matches!(bench.place(&mut command), Say::Launch(_)));
+}
+
 /// A class whose first answers took longer than its goal time was refused for good: while others were sent nothing more was
 /// learned of it. It is tried again within its goal time where a backend is idle.
 #[test]
