--- a/crates/rehearsal/src/draw.rs
+++ b/crates/rehearsal/src/draw.rs
@@ -17,6 +17,8 @@
     Fleet = 6,
     Search = 7,
     Soak = 8,
+    /// What crosses in a soak's worlds, drawn apart so that the rest of a seed's world stays as it is.
+    Crossings = 9,
     /// From here on one for each backend.
     Backends = 1 << 32,
 }
--- a/crates/rehearsal/src/real/mod.rs
+++ b/crates/rehearsal/src/real/mod.rs
@@ -3,6 +3,7 @@
 mod backends;
 mod clients;
 mod discovery;
+mod discovery_moves;
 mod idle_crowd;
 mod nodes;
 mod ports;
@@ -95,6 +96,7 @@
     let faults = spawn_local(ways::run_faults(stage.clone(), schedule.clone(), crew.clone()));
     let watched = scenario.view.is_some().then(|| spawn_local(ways::watch(stage.clone(), crew.clone())));
     let crowd = clients::Crowd::new(stage.clone(), crew.clone(), seed);
+    let moves = spawn_local(discovery_moves::run(stage.clone(), crew.clone()));
     let silent = spawn_local(idle_crowd::hold(stage.clone(), crew.clone()));
     let driven = spawn_local(crowd.run());
     let seconds = scenario.length.0.div_ceil(1_000_000);
@@ -106,6 +108,7 @@
     troubles.abort();
     faults.abort();
     silent.abort();
+    moves.abort();
     watched.inspect(|watched| watched.abort());
     stage.view(|views, now| views.end(now));
     let processes = crew.end_all().await;
--- a/crates/rehearsal/src/real/nodes.rs
+++ b/crates/rehearsal/src/real/nodes.rs
@@ -30,6 +30,10 @@
 /// A kill comes so long after the longest time limit, or after this where that is longer, counted from the word to stop.
 const KILL_AFTER: Duration = Duration::from_millis(700);
 const KILL_WAITS_FOR: Duration = Duration::from_secs(3);
+/// A process is sent no signal before this.
+const FIRST_SIGNAL: Duration = Duration::from_secs(1);
+/// All that discovery has to tell counts as told so long after a configuration that moved it.
+const MOVE_COUNTS_AS_TOLD: Duration = Duration::from_secs(4);
 const BETWEEN_SIGNALS: Duration = Duration::from_millis(60);
 
 /// How real processes are to be run.
@@ -59,6 +63,9 @@
     door: u16,
     admin: Option<u16>,
     config: PathBuf,
+    discovery: RefCell<discovery::Door>,
+    /// When its process was started.
+    started: Cell<Instant>,
     in_front: Cell<bool>,
     /// Told to stop, and not ended yet.
     stopping: Cell<bool>,
@@ -91,7 +98,8 @@
             // Free again as soon as this is dropped, and nobody else here is given it.
             let (_, port) = ports::listen()?;
             let name = format!("n{node}");
-            let discovery = stage.ways.tcp(&name, "discovery", discovery::start(stage, node)?)?;
+            let discovery_door = discovery::start(stage, node)?;
+            let discovery = stage.ways.tcp(&name, "discovery", discovery_door.port)?;
             let door = stage.ways.tcp("clients", &name, port)?;
             let admin = if with_view { Some(ports::listen()?.1) } else { None };
             let seed = Draw::numbered(0, Stream::Nodes, node as u64).number();
@@ -119,6 +127,8 @@
                 door,
                 admin,
                 config: path,
+                discovery: RefCell::new(discovery_door),
+                started: Cell::new(Instant::now()),
                 in_front: Cell::new(false),
                 stopping: Cell::new(false),
                 life: RefCell::new(None),
@@ -184,6 +194,7 @@
         let pid = child.id().ok_or("a node ended at once")? as i32;
         let (asked, (end, ended)) = (Rc::new(Cell::new(false)), watch::channel(false));
         place.lives.set(place.lives.get() + 1);
+        place.started.set(Instant::now());
         let at_once = ended.clone();
         *place.life.borrow_mut() = Some(Life { pid, asked: asked.clone(), ended });
         self.0.stage.see(Seen::Fresh { node });
@@ -264,6 +275,30 @@
         }
     }
 
+    /// Gives a node that serves a configuration with another address of discovery.
+    pub fn move_discovery(&self, node: usize) -> Result<(), String> {
+        let place = &self.0.places[node];
+        if !place.in_front.get() || place.started.get().elapsed() < FIRST_SIGNAL {
+            return Ok(());
+        }
+        let door = discovery::start(&self.0.stage, node)?;
+        let failed = |e: std::io::Error| format!("{}: {e}", place.config.display());
+        let text = std::fs::read_to_string(&place.config).map_err(failed)?;
+        let mut config: serde_json::Value = serde_json::from_str(&text).map_err(|e| e.to_string())?;
+        config["discovery"] = format!("127.0.0.1:{}", door.port).into();
+        std::fs::write(&place.config, config.to_string()).map_err(failed)?;
+        self.just_signal(node, Signal::SIGHUP);
+        place.discovery.replace(door);
+        let (crew, life) = (self.clone(), place.lives.get());
+        spawn_local(async move {
+            let reachable = crew.0.stage.list_stays_up(MOVE_COUNTS_AS_TOLD).await;
+            if reachable && crew.0.places[node].lives.get() == life {
+                crew.0.stage.told(node, None);
+            }
+        });
+        Ok(())
+    }
+
     fn signal_while_stopping(&self, node: usize, signal: Signal) {
         if self.0.places[node].stopping.get() {
             self.just_signal(node, signal);
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -67,6 +67,9 @@
     pub watches_end: bool,
     /// What a call for the list takes of discovery's time: it works through calls in turn.
     pub list_turn: Time,
+    /// All nodes, one after the other, are given a configuration that moves discovery, again and again so long after; never
+    /// at 0.
+    pub discovery_moves_every: Time,
     /// One in so many of the nodes' socket calls ends short, and of their accepts and dials fails; none at 0.
     pub short_calls: u32,
     pub failing_accepts: u32,
