--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -170,7 +170,7 @@
         // Where the list comes by itself, on sockets that is a watch from the start.
         let _ = follow.send(());
     }
-    let watches = list_watches::Watches::new(lister, desk.clone(), limits.clone());
+    let watches = list_watches::Watches::new(lister, desk.clone(), limits.clone(), start.discovery);
     spawn_local(watches.run(followed, discovery));
 
     let prober = probe::Prober { desk: desk.clone(), pool: pool.clone(), limits: limits.clone() };
--- a/crates/node/src/list_watches.rs
+++ b/crates/node/src/list_watches.rs
@@ -63,7 +63,7 @@
     limits: Rc<Limits>,
     age: RefCell<ListAge>,
     /// Discovery's address, as the configuration has it, and the address of the newest call.
-    present: Cell<Option<SocketAddr>>,
+    present: Cell<SocketAddr>,
     called: Cell<Option<SocketAddr>>,
     newest: Cell<CallNumber>,
     /// The highest number of those that have been answered.
@@ -81,9 +81,9 @@
 }
 
 impl Watches {
-    pub fn new(lister: Lister, desk: Rc<Desk>, limits: Rc<Limits>) -> Rc<Watches> {
-        let (age, present, called, newest) = Default::default();
-        let (answered, answer) = Default::default();
+    pub fn new(lister: Lister, desk: Rc<Desk>, limits: Rc<Limits>, discovery: SocketAddr) -> Rc<Watches> {
+        let present = Cell::new(discovery);
+        let (age, called, newest, answered, answer) = Default::default();
         Rc::new(Watches { lister, desk, limits, age, present, called, newest, answered, answer })
     }
 
@@ -94,7 +94,6 @@
         mut discovery: watch::Receiver<SocketAddr>,
     ) {
         let mut open = Open::default();
-        self.present.set(Some(*discovery.borrow_and_update()));
         loop {
             let call_at = open.call_at;
             tokio::select! {
@@ -104,7 +103,7 @@
                     Some(()) => self.call(&mut open),
                 },
                 Ok(()) = discovery.changed() => {
-                    self.present.set(Some(*discovery.borrow_and_update()));
+                    self.present.set(*discovery.borrow_and_update());
                     self.moved(&mut open);
                 }
                 () = sleep_until(call_at.unwrap_or_else(Instant::now)), if call_at.is_some() => self.call(&mut open),
@@ -137,13 +136,12 @@
 
     /// Whether the newest call was made at an address where discovery is no longer.
     fn call_is_due_elsewhere(&self) -> bool {
-        self.called.get() != self.present.get()
+        self.called.get() != Some(self.present.get())
     }
 
     /// Calls discovery at its present address.
     fn call(self: &Rc<Self>, open: &mut Open) {
-        let Some(address) = self.present.get() else { return };
-        let (watches, call) = (self.clone(), self.newest.get() + 1);
+        let (address, watches, call) = (self.present.get(), self.clone(), self.newest.get() + 1);
         self.newest.set(call);
         self.called.set(Some(address));
         open.call_at = None;
@@ -274,7 +272,7 @@
         note!("list: version {} is known {waited} ms after the call", self.lister.index());
         self.answered.set(self.answered.get().max(call));
         self.answer.notify_one();
-        self.change_age(|age, _| age.answered(self.present.get() == Some(discovery)));
+        self.change_age(|age, _| age.answered(self.present.get() == discovery));
     }
 
     fn take(&self, line: &[u8], first: bool) {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -572,6 +572,10 @@
         &self.terms.profiles[usize::from(command.profile.0)]
     }
 
+    fn row(&self, command: &Command) -> &Row {
+        &self.rows[usize::from(command.profile.0)]
+    }
+
     fn goal_end(&self, command: &Command) -> Moment {
         let profile = self.profile(command);
         (command.arrived + profile.goal_time).min(command.ends)
@@ -579,7 +583,7 @@
 
     /// Expected work in standard microseconds.
     fn cost(&self, command: &Command) -> f64 {
-        let row = &self.rows[usize::from(command.profile.0)];
+        let row = self.row(command);
         let Some(hint) = command.hint.filter(|_| row.answers > HINTED && row.spread > 0.0) else {
             return row.mean;
         };
@@ -590,7 +594,7 @@
 
     /// The same where too much would have it refused: of a profile that has not been met no more than the usual work.
     fn least_cost(&self, command: &Command) -> f64 {
-        let met = self.rows[usize::from(command.profile.0)].answers > 0.0;
+        let met = self.row(command).answers > 0.0;
         let most = if met { f64::MAX } else { self.usual };
         self.cost(command).min(most)
     }
@@ -703,21 +707,12 @@
             && ready[..reach].iter().all(|&i| self.backends[i].in_flight == 0)
         {
             // With nothing out nothing more is learned: what it believes would keep this node shut for good.
-            let cost = self.cost(command);
-            pool.extend(ready[..reach].iter().copied().filter(|&i| {
-                let b = &self.backends[i];
-                b.bad < 0.3 && self.allowed(i, command) && self.pour(now, b, cost).is_some()
-            }));
+            pool.extend(ready[..reach].iter().copied().filter(|&i| self.bears_a_try(now, i, command)));
         }
         if pool.is_empty() && first && self.is_due_again(now, command) {
             self.rows[usize::from(command.profile.0)].learn_anew();
-            pool.extend(ready[..reach].iter().copied().filter(|&i| {
-                let b = &self.backends[i];
-                b.bad < 0.3
-                    && self.idle(now, b)
-                    && self.allowed(i, command)
-                    && self.pour(now, b, self.cost(command)).is_some()
-            }));
+            let idle = |i: &usize| self.idle(now, &self.backends[*i]) && self.bears_a_try(now, *i, command);
+            pool.extend(ready[..reach].iter().copied().filter(idle));
         }
         if self.terms.warm_keys && command.key != 0 && !(explore && self.counts()) {
             self.keep_warm(command, &mut pool, ready.len());
@@ -825,7 +820,7 @@
         // With many nodes an own count of zero is no sign of idleness: most of the margin then, from two on.
         let fits = if idle {
             let doubt = self.margin.powf(0.7 - 1.4 / f64::from(self.terms.nodes.max(2)));
-            let row = &self.rows[usize::from(command.profile.0)];
+            let row = self.row(command);
             // Only an answer tells what a profile needs, so one that has had none is tried.
             row.answers == 0.0 || row.mean * self.pace(now, b) * doubt <= left
         } else {
@@ -834,6 +829,12 @@
         fits && self.pour(now, b, cost).is_some()
     }
 
+    /// Whether it may go there though there is no room by what is known: nothing speaks against the backend itself.
+    fn bears_a_try(&self, now: Moment, i: usize, command: &Command) -> bool {
+        let b = &self.backends[i];
+        b.bad < 0.3 && self.allowed(i, command) && self.pour(now, b, self.cost(command)).is_some()
+    }
+
     /// Whether nothing is ahead there, for all that is known of it.
     fn idle(&self, now: Moment, b: &Backend) -> bool {
         b.in_flight == 0 && b.ghost_left(now) == 0.0 && self.others(now, b) < 0.5
@@ -842,7 +843,7 @@
     /// Whether a profile is taken to need more than its goal time wherever it is sent, and has been sent nowhere for that
     /// long: what was learned of it may be old, and only another answer can tell.
     fn is_due_again(&self, now: Moment, command: &Command) -> bool {
-        let row = &self.rows[usize::from(command.profile.0)];
+        let row = self.row(command);
         let goal = self.profile(command).goal_time;
         row.mean * self.margin > goal.micros() && now.since(row.launched_at) >= goal
     }
