--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -117,7 +117,10 @@
             lost += u32::from(client.join().map_err(|_| io::Error::other("a client failed"))??);
         }
         hangs.store(false, SeqCst);
-        record.line(format!("{lost} of {} requests with long bodies were taken and got no answer in time", LONG_BODIES.len()));
+        record.line(format!(
+            "{lost} of {} requests with long bodies were taken and got no answer in time",
+            LONG_BODIES.len()
+        ));
         Ok(if lost > 0 { End::Broken } else { End::Held })
     })
 }
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -2,8 +2,10 @@
 //! Does each request that the node's machine has taken get its final answer in time, or at least a close?
 
 use stand::*;
+use std::collections::HashMap;
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
@@ -52,7 +54,10 @@
     Lost,
 }
 
-fn run_request(number: usize, at: SocketAddr, record: &Record) -> Fate {
+/// When the last byte of each request was written.
+type SentAt = Arc<Mutex<HashMap<String, Instant>>>;
+
+fn run_request(number: usize, at: SocketAddr, sent_at: &SentAt, record: &Record) -> Fate {
     let id = format!("c{number}");
     let request = format!(
         "GET /api HTTP/1.1\r\nHost: origin.svc\r\nX-Correlation-Id: {id}\r\nX-Service-Class: fetch\r\nX-Time-Left-Ms: {}\r\n\r\n",
@@ -63,6 +68,7 @@
         return Fate::Excused;
     };
     let _ = (stream.set_nodelay(true), stream.set_read_timeout(Some(READ_FOR)));
+    sent_at.lock().unwrap().insert(id.clone(), Instant::now());
     if let Err(error) = stream.write_all(request.as_bytes()) {
         record.line(format!("client: {id}: not written: {error}"));
         return Fate::Excused;
@@ -71,10 +77,14 @@
     let answer = Reader::new(stream).read();
     let took = sent.elapsed();
     let (fate, text) = match answer {
-        Ok(Some(answer)) if took > LOST_AFTER => (Fate::Lost, format!("{} {:?}", answer.status(), answer.text())),
+        Ok(Some(answer)) if took > LOST_AFTER => {
+            (Fate::Lost, format!("{} {:?}", answer.status(), answer.text()))
+        }
         Ok(Some(answer)) => (Fate::Answered, format!("{} {:?}", answer.status(), answer.text())),
         Ok(None) => (Fate::Excused, "closed with no answer".to_owned()),
-        Err(error) if error.kind() == io::ErrorKind::WouldBlock => (Fate::Lost, "no answer and no close".to_owned()),
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+            (Fate::Lost, "no answer and no close".to_owned())
+        }
         Err(error) => (Fate::Excused, format!("shut: {error}")),
     };
     let mark = if matches!(fate, Fate::Lost) { " <- lost" } else { "" };
@@ -100,13 +110,27 @@
     }
     run_case(Duration::from_secs(100), |setting| {
         let record = setting.record.clone();
+        let (sent_at, told_too_long) = (SentAt::default(), Arc::new(Mutex::new(0)));
         let mut backends = Vec::new();
-        for name in ["web-1", "web-2", "web-3", "web-4", "web-5", "web-6", "web-7", "web-8", "web-9", "web-10"] {
-            let record = record.clone();
+        for name in
+            ["web-1", "web-2", "web-3", "web-4", "web-5", "web-6", "web-7", "web-8", "web-9", "web-10"]
+        {
+            let (record, sent_at, told_too_long) = (record.clone(), sent_at.clone(), told_too_long.clone());
             let address = start_backend(move |mut reader| {
                 while let Ok(Some(request)) = reader.read() {
                     let id = request.header("x-correlation-id").to_owned();
-                    record.line(format!("backend {name}: runs {id}, told {} ms", request.header("x-time-left-ms")));
+                    let told = request
+                        .header("x-time-left-ms")
+                        .parse()
+                        .map_or(Duration::ZERO, Duration::from_millis);
+                    let gone = sent_at.lock().unwrap().get(&id).map_or(Duration::ZERO, Instant::elapsed);
+                    let left = TIME_LEFT.saturating_sub(gone);
+                    record.line(format!(
+                        "backend {name}: runs {id}, told {} ms, left {} ms",
+                        told.as_millis(),
+                        left.as_millis()
+                    ));
+                    *told_too_long.lock().unwrap() += u32::from(told > left + Duration::from_millis(150));
                     sleep(WORK);
                     if reader.stream.write_all(&answer(&format!("answer to {id}"))).is_err() {
                         return;
@@ -128,8 +152,8 @@
                     crowd.push(setting.start_helper(&["crowd".to_owned(), at.to_string()])?);
                 }
             }
-            let record = record.clone();
-            clients.push(spawn(move || run_request(number, at, &record)));
+            let (record, sent_at) = (record.clone(), sent_at.clone());
+            clients.push(spawn(move || run_request(number, at, &sent_at, &record)));
             sleep(REQUEST_INTERVAL);
         }
         let (mut lost, mut excused) = (0, 0);
@@ -145,9 +169,18 @@
             let _ = helper.wait();
         }
         if let (Some(before), Some(after)) = (overflows, queue_overflows()) {
-            record.line(format!("overflows of listeners' queues on this machine meanwhile: {}", after - before));
+            record.line(format!(
+                "overflows of listeners' queues on this machine meanwhile: {}",
+                after - before
+            ));
         }
-        record.line(format!("{lost} of {REQUESTS} requests were lost; {excused} were shut unread or not taken"));
+        let told_too_long = *told_too_long.lock().unwrap();
+        record.line(format!(
+            "{told_too_long} attempts were told more time than their client had left and 150 ms"
+        ));
+        record.line(format!(
+            "{lost} of {REQUESTS} requests were lost; {excused} were shut unread or not taken"
+        ));
         Ok(if lost > 0 { End::Broken } else { End::Held })
     })
 }
--- a/review/stand/lib.rs
+++ b/review/stand/lib.rs
@@ -76,7 +76,8 @@
 
 /// Sends a signal to a process that this case started.
 pub fn signal(id: u32, name: &str) {
-    let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{name} {id}")]).stderr(Stdio::null()).status();
+    let _ =
+        Command::new("/bin/sh").args(["-c", &format!("kill -{name} {id}")]).stderr(Stdio::null()).status();
 }
 
 /// Where the case runs, and whether with its disruption.
@@ -128,7 +129,10 @@
     /// Starts a node with the `run` command of the deploy file, and waits until it is ready.
     pub fn start_node(&self, name: &str, config: &str, listen: SocketAddr) -> io::Result<Node> {
         let deploy = fs::read_to_string(self.root.join("deploy/balancer.toml"))?;
-        let run = deploy.lines().find_map(|line| line.strip_prefix("run = \"")).and_then(|rest| rest.split('"').next());
+        let run = deploy
+            .lines()
+            .find_map(|line| line.strip_prefix("run = \""))
+            .and_then(|rest| rest.split('"').next());
         let run = run.ok_or_else(|| io::Error::other("deploy/balancer.toml has no run"))?;
         let path = self.temp.join(format!("{name}.json"));
         fs::write(&path, config)?;
@@ -305,7 +309,8 @@
 
 /// A 200 answer with this body.
 pub fn answer(body: &str) -> Vec<u8> {
-    format!("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+    format!("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+        .into_bytes()
 }
 
 /// Starts a stand-in for a backend. `serve` is called in a thread of its own for each connection.
@@ -354,7 +359,8 @@
                 let _ = reader.stream.write_all(&answer(&list));
                 continue;
             }
-            let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
+            let head =
+                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
             let mut line = list.clone();
             let mut chunk = head.to_owned();
             loop {
@@ -371,7 +377,13 @@
 
 /// The configuration of a small deployment: one node, the classes and limits of a package registry. `profiles` and
 /// `limits` are JSON that goes into it as it is.
-pub fn config(listen: SocketAddr, discovery: SocketAddr, known: &str, profiles: &str, limits: &str) -> String {
+pub fn config(
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    known: &str,
+    profiles: &str,
+    limits: &str,
+) -> String {
     format!(
         r#"{{"name":"n1","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
 "limits":{limits},"known":{known},
