Log connections that waited long to be accepted, and how full the node was

The kernel's record of a connection (TCP_INFO, through nix) tells how long its data has been here; an accept that comes over 200 ms late is logged with the number of open and of closing connections and of commands. The unsafe call is inside nix: its macro sockopt_impl is made for options that nix lacks, and the crate still forbids unsafe code.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -6,6 +6,7 @@
 use crate::log::log;
 use crate::node::Node;
 use crate::observed_stream::ObservedStream;
+use crate::receive_time::time_since_last_data;
 use crate::request_framing::RequestObserver;
 use crate::transport::Transport;
 use hyper::server::conn::http1;
@@ -153,7 +154,26 @@
     }
 }
 
+/// A connection that waited to be accepted for longer than this is logged.
+const LOGGED_ACCEPT_DELAY: Duration = Duration::from_millis(200);
+
+/// Logs a connection that waited long in the kernel's queue, and how full the node was when it came.
+fn log_accept_delay(waited: Duration, clients: &ClientConnections) {
+    if waited <= LOGGED_ACCEPT_DELAY {
+        return;
+    }
+    let open = clients.open.borrow();
+    let evicted = open.iter().filter(|(_, client)| client.is_evicted.get()).count();
+    log!(
+        "accept: a connection waited {} ms; {} open, {evicted} of them closing, {} commands in flight",
+        waited.as_millis(),
+        open.len(),
+        clients.commands.get()
+    );
+}
+
 fn start_connection(stream: TcpStream, clients: &Rc<ClientConnections>, node: &Rc<Node>) {
+    log_accept_delay(time_since_last_data(&stream), clients);
     let stream = Transport::new(stream);
     let limits = &node.limits;
     if clients.open.borrow().len() >= limits.max_client_sockets() {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -28,6 +28,7 @@
 mod observed_stream;
 mod pool;
 mod probe;
+mod receive_time;
 mod reload;
 mod reply;
 mod request_framing;
