Free the places of connections that make room at once, so that no request waits unread

Cause: at the limit one idle connection at a time was told to close, and kept its place for 0.1 to 0.5 s. Now an evicted connection ends once its input is read; a request that is complete is still answered. One that only waits for its client's close goes first.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -69,17 +69,18 @@
         let max_open = node.limits.max_client_sockets() + node.limits.surplus_client_sockets;
         let has_successor = node.lifecycle.has_successor();
         if open_count >= max_open {
-            close_idle(&clients.open.borrow(), node.limits.idle_after);
+            close_idle(&clients.open.borrow(), node.limits.crowded_idle_after);
         }
         let accepted = tokio::select! {
             // The new process accepts from now on. It has the same listening socket, so it also takes what
             // is in the kernel's queue.
             () = node.lifecycle.wait_for_successor(!has_successor) => continue,
             accepted = listener.accept(), if open_count < max_open && !has_successor => accepted,
-            // At the limit, further connections wait in the kernel's queue until one closes. The sleep lets
-            // the loop close idle ones, as silent connections must not block accepting for ever.
+            // At the limit, further connections wait in the kernel's queue until the one chosen above has
+            // closed. If there was none to choose, the loop looks again soon, as the time of the requests in
+            // the queue runs.
             () = clients.connection_closed.notified(), if open_count >= max_open => continue,
-            () = sleep(node.limits.idle_after), if open_count >= max_open => continue,
+            () = sleep(node.limits.crowded_idle_after), if open_count >= max_open => continue,
             () = &mut stop_accepting => break,
         };
         match accepted {
@@ -199,7 +200,7 @@
         let observed = ObservedStream { stream, observer: request_observer };
         let service = TowerToHyperService::new(ClientService { node: node.clone(), client: client.clone() });
         let mut connection = builder.serve_connection(TokioIo::new(observed), service);
-        let mut is_closing = false;
+        let (mut is_closing, mut has_shut_down) = (false, false);
         let is_graceful = loop {
             let idle_deadline = client.idle_deadline(&limits).max(Instant::now() + limits.idle_after);
             tokio::select! {
@@ -211,8 +212,13 @@
                 _ = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break true,
                 () = ready(()), if is_closing => {
                     Pin::new(&mut connection).graceful_shutdown();
-                    is_closing = false;
+                    (is_closing, has_shut_down) = (false, true);
                 }
+                // Everything that had come was read, and no request is complete. The place is needed now:
+                // connections that wait to be accepted may hold complete requests.
+                () = ready(()), if has_shut_down
+                    && client.is_evicted.get()
+                    && !client.owes_answer(limits.client_silence) => break false,
                 () = client.recheck.notified() => {
                     // The client's close was detected behind data that is not being read at present.
                     if client.close_detected.get() {
@@ -227,11 +233,8 @@
                 }
                 // The loop then checks for the client's close on each turn.
                 () = sleep(limits.idle_after), if client.cannot_detect_close() => {}
-                () = sleep(limits.idle_after), if client.is_evicted.get() => {
-                    if !client.owes_answer(limits.client_silence) {
-                        break false;
-                    }
-                }
+                // As above for an evicted connection that still owes an answer.
+                () = sleep(limits.idle_after), if client.is_evicted.get() => {}
                 () = sleep_until(idle_deadline), if !client.is_evicted.get() => {
                     if client.commands.get() == 0 && client.idle_deadline(&limits) <= Instant::now() {
                         client.evict();
@@ -239,8 +242,13 @@
                 }
             }
         };
-        if is_graceful {
-            close_gracefully(connection.into_parts().io.into_inner().stream, limits.close_timeout).await;
+        // Nothing was written to an evicted client without a request, so nothing of it can be lost.
+        if is_graceful && !(client.is_evicted.get() && client.is_unused()) {
+            let stream = connection.into_parts().io.into_inner().stream;
+            tokio::select! {
+                () = close_gracefully(stream, limits.close_timeout) => {}
+                () = client.wait_while_lingering() => {}
+            }
         }
         clients.open.borrow_mut().remove(connection_key);
         node.limits.sockets.clients.set(clients.open.borrow().len());
--- a/crates/node/src/client_connections.rs
+++ b/crates/node/src/client_connections.rs
@@ -42,6 +42,10 @@
     write_stalled_since: Cell<Option<Instant>>,
     /// Close the connection even in the middle of a head that makes no progress.
     pub is_evicted: Cell<bool>,
+    /// The connection is shut down and waits for its client to close it too; and the notification that ends
+    /// this wait.
+    is_lingering: Cell<bool>,
+    linger_ended: Notify,
 }
 
 /// All connections from clients.
@@ -101,6 +105,8 @@
             read_waker: Cell::default(),
             write_stalled_since,
             is_evicted,
+            is_lingering: Cell::new(false),
+            linger_ended: Notify::new(),
         }
     }
 
@@ -126,12 +132,28 @@
         self.recheck.notify_one();
     }
 
-    /// Closes the connection even in the middle of a head.
+    /// Closes the connection even in the middle of a head, or while it waits for its client to close it.
     pub fn evict(&self) {
+        if self.is_lingering.get() {
+            self.linger_ended.notify_one();
+            return;
+        }
         self.is_evicted.set(true);
         self.request_close();
     }
 
+    /// Whether no request was received on it, and not even a part of one.
+    pub fn is_unused(&self) -> bool {
+        self.heads_delivered.get() == 0 && !self.has_partial_request.get()
+    }
+
+    /// Marks the connection as shut down and waits until its place is needed.
+    pub async fn wait_while_lingering(&self) {
+        self.is_lingering.set(true);
+        self.idle_since.set(Instant::now());
+        self.linger_ended.notified().await;
+    }
+
     /// Counts a request as unanswered for as long as the returned guard exists.
     pub fn begin_request(self: &Rc<ClientConnection>) -> RequestGuard {
         self.unanswered_requests.set(self.unanswered_requests.get() + 1);
@@ -238,19 +260,27 @@
     }
 }
 
-/// Closes the connection that has been idle longest, if there is one. Connections on which nothing of a
-/// request was received come first, and among those the ones that never had a command. A connection that was
-/// just accepted does not count as idle, because it would be closed before its first command is read.
+/// Closes the connection that has been idle longest, if there is one. Connections that are shut down already
+/// come first, then those on which nothing of a request was received, and among these the ones that never had
+/// a command. A connection that was just accepted does not count as idle, because it would be closed before
+/// its first command is read.
 pub fn close_idle(clients: &Slab<Rc<ClientConnection>>, min_idle: Duration) {
-    let idle = clients
-        .iter()
-        .map(|(_, client)| client)
-        .filter(|client| client.commands.get() == 0 && client.write_stalled_since.get().is_none());
-    let idle = idle.filter(|client| client.idle_since.get().elapsed() >= min_idle);
+    let is_idle = |client: &&Rc<ClientConnection>| {
+        client.commands.get() == 0
+            && client.write_stalled_since.get().is_none()
+            && client.idle_since.get().elapsed() >= min_idle
+    };
     // Connections with part of a request come last, because the rest may be on its way.
-    if let Some(longest_idle) = idle
-        .min_by_key(|client| (client.has_pending_input(), client.had_command.get(), client.idle_since.get()))
-    {
+    let close_order = |client: &&Rc<ClientConnection>| {
+        (
+            !client.is_lingering.get(),
+            client.has_pending_input(),
+            client.had_command.get(),
+            client.idle_since.get(),
+        )
+    };
+    let idle = clients.iter().map(|(_, client)| client).filter(is_idle);
+    if let Some(longest_idle) = idle.min_by_key(close_order) {
         // This resets the idle time, so that the connection is not picked again before it had time to close.
         longest_idle.idle_since.set(Instant::now());
         longest_idle.evict();
