Count a request's time from when its last byte came to the kernel, not from its read

Callers whose request lay unread were answered after they had given up, and backends were told time that was over. Cause: a command's arrival was the time of its read (client_service.rs). No wall clock is involved.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -7,6 +7,7 @@
 use crate::node::Node;
 use crate::observed_stream::ObservedStream;
 use crate::receive_time::time_since_last_data;
+use crate::request_arrival::RequestArrival;
 use crate::request_framing::RequestObserver;
 use crate::transport::Transport;
 use hyper::server::conn::http1;
@@ -188,7 +189,7 @@
     if let Some(counts) = node.dispatcher.counts() {
         counts.count_connection(node.dispatcher.clock.now());
     }
-    let client = Rc::new(ClientConnection::new(clients.clone()));
+    let client = Rc::new(ClientConnection::new(clients.clone(), RequestArrival::new(stream.observe())));
     let connection_key = clients.open.borrow_mut().insert(client.clone());
     limits.sockets.clients.set(clients.open.borrow().len());
     let (clients, node) = (clients.clone(), node.clone());
--- a/crates/node/src/client_connections.rs
+++ b/crates/node/src/client_connections.rs
@@ -1,6 +1,7 @@
 //! The open connections from clients, and which requests and commands are in progress on each of them.
 
 use crate::limits::Limits;
+use crate::request_arrival::RequestArrival;
 use slab::Slab;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -26,6 +27,8 @@
     had_command: Cell<bool>,
     idle_since: Cell<Instant>,
     pub accepted_at: Instant,
+    /// The arrival of the request that is being received.
+    pub arrival: Rc<RequestArrival>,
     /// Notifies the connection's task to check its state again: what follows the current request, and
     /// whether it can still detect the client's close.
     pub recheck: Notify,
@@ -75,7 +78,7 @@
 
 impl ClientConnection {
     /// A connection that was just accepted.
-    pub fn new(clients: Rc<ClientConnections>) -> ClientConnection {
+    pub fn new(clients: Rc<ClientConnections>, arrival: RequestArrival) -> ClientConnection {
         let (recheck, conflicting_head, close_requested) = (Notify::new(), Cell::default(), Cell::default());
         let (
             commands,
@@ -98,6 +101,7 @@
             had_command,
             idle_since: Cell::new(Instant::now()),
             accepted_at: Instant::now(),
+            arrival: Rc::new(arrival),
             recheck,
             close_requested,
             may_have_unread,
--- a/crates/node/src/client_service.rs
+++ b/crates/node/src/client_service.rs
@@ -127,9 +127,9 @@
                 }
             }
         };
-        // The command's time counts from its last byte: from now if the body is complete, otherwise from now
-        // and again when the last byte arrives.
-        command.arrived_at = self.dispatcher.clock.now();
+        // The command's time counts from its last byte, which may have waited in the kernel. If the body is
+        // incomplete, it counts anew from the last byte.
+        command.arrived_at = self.dispatcher.clock.timestamp(client.arrival.earliest_end());
         command.deadline = command.arrived_at + time_left;
         let path = head.uri.path_and_query().cloned().unwrap_or_else(|| PathAndQuery::from_static("/api"));
         let id = head.headers[CORRELATION_ID_HEADER].clone();
--- a/crates/node/src/dispatcher.rs
+++ b/crates/node/src/dispatcher.rs
@@ -47,6 +47,13 @@
         Timestamp(self.unix_start_us)
     }
 
+    /// Converts a time of the runtime's clock, which may lie before the process started.
+    pub fn timestamp(&self, at: Instant) -> Timestamp {
+        let before_start = self.start.saturating_duration_since(at).as_micros() as u64;
+        let after_start = at.saturating_duration_since(self.start).as_micros() as u64;
+        Timestamp(self.unix_start_us - before_start + after_start)
+    }
+
     /// Converts a time to the runtime's clock; a time before the start becomes the start.
     pub fn instant(&self, at: Timestamp) -> Instant {
         self.start + Duration::from_micros(at.since(Timestamp(self.unix_start_us)).0)
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -31,6 +31,7 @@
 mod receive_time;
 mod reload;
 mod reply;
+mod request_arrival;
 mod request_framing;
 mod serve;
 mod signals;
--- a/crates/node/src/request_framing.rs
+++ b/crates/node/src/request_framing.rs
@@ -9,6 +9,8 @@
 
 use crate::client_connections::ClientConnection;
 use crate::observed_stream::StreamObserver;
+use crate::receive_time::time_since_last_data;
+use crate::request_arrival::ReceivedPart;
 use crate::transport::Transport;
 use std::future::Future;
 use std::io;
@@ -17,6 +19,7 @@
 use std::task::{ready, Context, Poll, Waker};
 use tokio::io::{AsyncRead, Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// The bytes that are kept of a header line: enough for the longer of the two names and any valid length.
 const MAX_LINE_BYTES: usize = 64;
@@ -78,6 +81,14 @@
         matches!(self.state, ParserState::Head) && self.heads_complete > 0 && !self.has_partial_head()
     }
 
+    /// The bytes of the body that are still to come, if the request states its length.
+    fn missing_bytes(&self) -> Option<u64> {
+        match self.state {
+            ParserState::Body(left) => Some(left),
+            _ => None,
+        }
+    }
+
     /// Parses data up to the end of a request and returns how many bytes that were.
     fn parse(&mut self, all: &[u8]) -> usize {
         let mut bytes = all;
@@ -183,26 +194,49 @@
     /// Data that arrived behind the command in flight, and the maximum that is held back, in bytes.
     held_back: Vec<u8>,
     max_held_back: usize,
+    /// When the newest data of the last read had come.
+    arrived_at: Instant,
 }
 
 impl RequestObserver {
     pub fn new(client: Rc<ClientConnection>, max_held_back: usize) -> RequestObserver {
-        RequestObserver { parser: FramingParser::new(), client, held_back: Vec::new(), max_held_back }
+        RequestObserver {
+            parser: FramingParser::new(),
+            client,
+            held_back: Vec::new(),
+            max_held_back,
+            arrived_at: Instant::now(),
+        }
     }
 
     /// Reads on. While a read is pending, the client's close is seen as soon as it comes. After a read that
     /// returned, unread data may be waiting, because hyper reads no further until the data is consumed.
     fn read_more(
-        &self,
-        stream: Pin<&mut Transport>,
+        &mut self,
+        mut stream: Pin<&mut Transport>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let read = stream.poll_read(cx, buf);
+        let read = stream.as_mut().poll_read(cx, buf);
         self.client.set_may_have_unread(read.is_ready());
+        match read {
+            Poll::Pending => self.client.arrival.record_empty_queue(),
+            Poll::Ready(_) => self.arrived_at = Instant::now() - time_since_last_data(stream.tcp()),
+        }
         read
     }
 
+    /// Records the part of a request that is passed on to hyper.
+    fn record_part(&self, bytes: usize) {
+        if bytes > 0 {
+            self.client.arrival.record_part(&ReceivedPart {
+                arrived_at: self.arrived_at,
+                is_last: self.parser.is_at_request_end(),
+                missing_bytes: self.parser.missing_bytes(),
+            });
+        }
+    }
+
     /// While a command is in flight, the data behind it is held back, so that the client's close is still
     /// seen.
     fn hold_back(&mut self, mut stream: Pin<&mut Transport>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -246,11 +280,13 @@
             let request_bytes = self.parser.parse(&buf.filled()[before..]);
             self.held_back.extend_from_slice(&buf.filled()[before + request_bytes..]);
             buf.set_filled(before + request_bytes);
+            self.record_part(request_bytes);
         } else {
             let available = self.held_back.len().min(buf.remaining());
             let request_bytes = self.parser.parse(&self.held_back[..available]);
             buf.put_slice(&self.held_back[..request_bytes]);
             self.held_back.drain(..request_bytes);
+            self.record_part(request_bytes);
         }
         self.client.conflicting_head.set(self.parser.conflicting_head);
         self.client.has_partial_request.set(self.parser.has_partial_head() || !self.held_back.is_empty());
--- a/crates/node/src/transport.rs
+++ b/crates/node/src/transport.rs
@@ -4,15 +4,18 @@
 //! event of the kernel. If Linux ends a call early, for example on an interrupt, data remains for which no
 //! event comes; it was then left unread until the connection ended.
 
+use rustix::io::Errno;
+use rustix::net::{shutdown, Shutdown};
 use std::io::{self, ErrorKind, IoSlice};
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::rc::{Rc, Weak};
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 /// A TCP connection that avoids tokio's assumptions about short reads and writes.
-pub struct Transport(TcpStream);
+pub struct Transport(Rc<TcpStream>);
 
 /// Whether to retry the call: it was interrupted, or the socket was not ready after all.
 fn should_retry(error: &io::Error) -> bool {
@@ -21,7 +24,6 @@
 
 /// Whether a connect failed because this machine lacks a resource, which says nothing about the peer.
 pub fn is_local(error: &io::Error) -> bool {
-    use rustix::io::Errno;
     const LOCAL_ERRORS: [Errno; 8] = [
         Errno::MFILE,
         Errno::NFILE,
@@ -40,7 +42,7 @@
     pub fn new(stream: TcpStream) -> Transport {
         // This fails if the peer has reset the connection, which the first read then reports.
         let _ = stream.set_nodelay(true);
-        Transport(stream)
+        Transport(Rc::new(stream))
     }
 
     /// Opens a connection.
@@ -53,6 +55,11 @@
         &self.0
     }
 
+    /// The underlying stream for those who observe it; it closes when the transport is dropped.
+    pub fn observe(&self) -> Weak<TcpStream> {
+        Rc::downgrade(&self.0)
+    }
+
     fn poll_write_with(
         &self,
         cx: &mut Context<'_>,
@@ -101,11 +108,16 @@
         true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // What was written is with the kernel already.
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(match shutdown(&*self.0, Shutdown::Write) {
+            // The peer has reset the connection, so nothing is left to shut down.
+            Err(Errno::NOTCONN) => Ok(()),
+            other => other.map_err(io::Error::from),
+        })
     }
 }
--- a/crates/node/tests/endings.rs
+++ b/crates/node/tests/endings.rs
@@ -670,6 +670,7 @@
     let large = |_| BackendAction::BodyWithLength(60_000);
     let read_answers = |stream: &mut TcpStream| (0..100).map_while(|_| read_message(stream)).count();
     let mut fixture = NodeFixture::new(1, large, |config| {
+        with_long_limits(config);
         for profile in config["settings"]["profiles"].as_array_mut().expect("profiles") {
             profile["timeLimit"] = 100_000_000.into();
         }
