Count the time of a streamed body from its client's last byte, also while a backend does not take it

Cause: while a body was streamed no time ran, and afterwards it counted from when the last byte was passed on. Evidence: /proc/net/tcp during the unchanged case: 3.9 MB unsent to the backend, 0.1 to 0.6 MB unread, up to 4.16 MB in the client's own send buffer. Now a lower bound for the last byte's time is kept while the body arrives; once the client may have waited for its time the launch ends as not run, and its client gets a 503. A backend is told what is left.

The suites of the node and the decisions pass.

--- a/crates/node/src/client_service.rs
+++ b/crates/node/src/client_service.rs
@@ -3,7 +3,7 @@
 
 use crate::bodies::{ReadBody, ReadError};
 use crate::client_connections::ClientConnection;
-use crate::launch_types::{OutboundRequest, RequestBody, TIME_LEFT_HEADER};
+use crate::launch_types::{OutboundRequest, RequestBody, StreamingBody, TIME_LEFT_HEADER};
 use crate::list::stable_hash;
 use crate::node::Node;
 use crate::reply::{forwarded_headers, rejection, text_reply, Reply};
@@ -12,7 +12,6 @@
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, StatusCode};
-use std::cell::RefCell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::pin::Pin;
@@ -143,7 +142,12 @@
                 // When the connection closes, hyper drops this future together with the rest of the body.
                 _cut_guard = Some(stream.cut_guard());
                 client.recheck.notify_one();
-                RequestBody::Streaming(RefCell::new(Some(stream)))
+                RequestBody::Streaming(StreamingBody::new(
+                    stream,
+                    client.arrival.clone(),
+                    Duration::from_micros(time_left.0),
+                    self.limits.client_silence,
+                ))
             }
         };
         let outbound = Rc::new(OutboundRequest { method, uri: path.into(), headers, body });
--- a/crates/node/src/dispatcher.rs
+++ b/crates/node/src/dispatcher.rs
@@ -297,10 +297,12 @@
     }
 
     /// Records that the last byte of the request body has been passed on: the command's time counts from
-    /// now.
-    pub fn record_body_complete(&self, handle: CommandHandle) {
+    /// when the client had written that byte.
+    pub fn record_body_complete(&self, handle: CommandHandle, ended_at: Instant) {
+        let ended_at = self.clock.timestamp(ended_at);
         self.with_balancer(|inner, now| {
-            inner.balancer.on_body_complete(now, &mut inner.commands_in_flight[handle.0 as usize].command)
+            let command = &mut inner.commands_in_flight[handle.0 as usize].command;
+            inner.balancer.on_body_complete(now, ended_at, command)
         });
     }
 
--- a/crates/node/src/launch.rs
+++ b/crates/node/src/launch.rs
@@ -9,6 +9,7 @@
 use crate::pool::{Exchange, LeaseError, Pool};
 use crate::probe;
 use crate::reply::forwarded_headers;
+use crate::request_arrival::Overdue;
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use hyper::{Request, Response, StatusCode};
@@ -20,8 +21,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::sync::watch;
-use tokio::time::{sleep, sleep_until, timeout_at};
+use tokio::time::{sleep_until, timeout_at, Instant};
 use tower::Service;
 use yarrowfront::command::Outcome;
 use yarrowfront::ids::{BackendId, CommandHandle};
@@ -40,8 +40,6 @@
     /// When the client's deadline ends; for a body that is still streaming, the time that is left is counted
     /// from its last byte.
     pub deadline: Timestamp,
-    /// Set to true once the last byte of a streaming body has been passed on.
-    pub body_complete: Rc<watch::Sender<bool>>,
     pub control: Rc<LaunchControl>,
 }
 
@@ -83,7 +81,6 @@
         let Some(address) = launch.address.filter(|_| !launch.outbound.is_body_consumed()) else {
             return result;
         };
-        let time_left = launch.deadline.since(self.dispatcher.clock.now());
         let stream_end: Rc<Cell<Option<StreamEnd>>> = Rc::default();
         let mut request = self.build_request(&launch, &stream_end);
         loop {
@@ -122,46 +119,41 @@
             // The time left is set just before the write. When it was set before the wait for a connection,
             // it promised the backend time that the client no longer had. For a streaming body it counts
             // from the last byte.
-            let now = self.dispatcher.clock.now();
-            let remaining =
-                if launch.outbound.is_streaming() { time_left } else { launch.deadline.since(now) };
-            request.headers_mut().insert(TIME_LEFT_HEADER, HeaderValue::from(remaining.0 / 1000));
-            let deadline_passed = async {
-                if launch.outbound.is_streaming() {
-                    // The client's time counts from its last byte, and only the client decides when that is
-                    // sent.
-                    let _ = launch.body_complete.subscribe().wait_for(|body_complete| *body_complete).await;
-                    sleep(Duration::from_micros(time_left.0)).await;
-                } else {
-                    sleep_until(deadline).await;
-                }
+            let remaining = match launch.outbound.streaming_body() {
+                Some(body) => body.time_left(),
+                None => Duration::from_micros(launch.deadline.since(self.dispatcher.clock.now()).0),
             };
+            let remaining_ms = remaining.as_millis() as u64;
+            request.headers_mut().insert(TIME_LEFT_HEADER, HeaderValue::from(remaining_ms));
+            let deadline_passed = wait_out_of_time(&launch.outbound, deadline);
             let exchange = self.pool.exchange(backend, lease, request);
             let exchange_result = tokio::select! {
                 biased;
-                exchange_result = exchange => Some(exchange_result),
-                () = deadline_passed => None,
+                exchange_result = exchange => exchange_result,
+                outcome = deadline_passed => {
+                    result.outcome = outcome;
+                    return result;
+                }
             };
             match exchange_result {
-                Some(Exchange::Stale(retried_request)) => {
+                Exchange::Stale(retried_request) => {
                     launch.control.set_may_be_written(false);
                     request = retried_request;
                     continue;
                 }
-                Some(Exchange::Answered(response)) => self.read_answer(&mut result, response),
-                Some(Exchange::ConnectFailed(request)) => {
+                Exchange::Answered(response) => self.read_answer(&mut result, response),
+                Exchange::ConnectFailed(request) => {
                     return_body(&launch, request);
                     result.outcome = Outcome::ConnectFailed;
                 }
-                Some(Exchange::ConnectionLost) => {
+                Exchange::ConnectionLost => {
                     result.outcome = match stream_end.get() {
                         // The last byte was never written, so the backend cannot have run the command.
                         Some(StreamEnd::Broken) => Outcome::NotSent,
-                        None if launch.outbound.is_streaming() => Outcome::ConnectFailed,
+                        None if launch.outbound.streaming_body().is_some() => Outcome::ConnectFailed,
                         _ => Outcome::ConnectionLost,
                     };
                 }
-                None => result.outcome = Outcome::TimedOut,
             }
             return result;
         }
@@ -175,12 +167,12 @@
     ) -> Request<OutgoingBody> {
         let body = match &launch.outbound.body {
             RequestBody::Buffered(body) => OutgoingBody::from(body.clone()),
-            RequestBody::Streaming(stream) => match stream.take() {
+            RequestBody::Streaming(body) => match body.take() {
                 Some(mut stream) => {
-                    let (stream_end, body_complete) = (stream_end.clone(), launch.body_complete.clone());
+                    let (stream_end, outbound) = (stream_end.clone(), launch.outbound.clone());
                     stream.on_end(move |end| {
                         stream_end.set(Some(end));
-                        body_complete.send_replace(true);
+                        outbound.streaming_body().iter().for_each(|body| body.record_end());
                     });
                     OutgoingBody::Streaming(stream)
                 }
@@ -218,10 +210,33 @@
 
 /// Returns a body of which nothing was sent, so that another launch can use it.
 fn return_body(launch: &Launch, request: Request<OutgoingBody>) {
-    if let (RequestBody::Streaming(body_slot), OutgoingBody::Streaming(stream)) =
-        (&launch.outbound.body, request.into_body())
+    if let (Some(body), OutgoingBody::Streaming(stream)) =
+        (launch.outbound.streaming_body(), request.into_body())
     {
-        body_slot.replace(Some(stream));
+        body.put_back(stream);
+    }
+}
+
+/// Completes with the launch's outcome once its client's time is over.
+async fn wait_out_of_time(outbound: &OutboundRequest, deadline: Instant) -> Outcome {
+    let Some(body) = outbound.streaming_body() else {
+        sleep_until(deadline).await;
+        return Outcome::TimedOut;
+    };
+    // Until the last byte is passed on, the backend cannot have run the command.
+    tokio::select! {
+        biased;
+        ended_at = body.wait_ended() => {
+            sleep_until(ended_at + body.client_time()).await;
+            Outcome::TimedOut
+        }
+        overdue = body.wait_overdue() => match overdue {
+            Overdue::NotTaken => {
+                log!("launch: a backend did not take a command's body in the command's time");
+                Outcome::ConnectFailed
+            }
+            Overdue::ClientSilent => Outcome::NotSent,
+        }
     }
 }
 
--- a/crates/node/src/launch_types.rs
+++ b/crates/node/src/launch_types.rs
@@ -2,11 +2,15 @@
 //! and its result.
 
 use crate::bodies::{BodyStream, ReadBody};
+use crate::request_arrival::{Overdue, RequestArrival};
 use bytes::Bytes;
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use yarrowfront::command::Outcome;
 use yarrowfront::ids::BackendId;
 
@@ -25,20 +29,87 @@
 /// The body of a command.
 pub enum RequestBody {
     Buffered(Bytes),
-    /// A streaming body can be sent only once. It is here until a launch takes it, and again if that launch
-    /// has sent nothing of it.
-    Streaming(RefCell<Option<BodyStream>>),
+    Streaming(StreamingBody),
+}
+
+/// A body that is passed on while it arrives. It can be sent only once.
+pub struct StreamingBody {
+    /// It is here until a launch takes it, and again if that launch has sent nothing of it.
+    stream: RefCell<Option<BodyStream>>,
+    arrival: Rc<RequestArrival>,
+    /// How long the client waits after its last byte, and how long it may pause before that.
+    client_time: Duration,
+    max_silence: Duration,
+    /// When the client had written the last byte, once that is passed on.
+    ended_at: watch::Sender<Option<Instant>>,
+}
+
+impl StreamingBody {
+    pub fn new(
+        stream: BodyStream,
+        arrival: Rc<RequestArrival>,
+        client_time: Duration,
+        max_silence: Duration,
+    ) -> StreamingBody {
+        let ended_at = watch::Sender::new(None);
+        StreamingBody { stream: RefCell::new(Some(stream)), arrival, client_time, max_silence, ended_at }
+    }
+
+    /// The body, unless a launch has it or has sent a part of it.
+    pub fn take(&self) -> Option<BodyStream> {
+        self.stream.take()
+    }
+
+    /// Returns a body of which nothing was sent.
+    pub fn put_back(&self, stream: BodyStream) {
+        self.stream.replace(Some(stream));
+    }
+
+    fn is_consumed(&self) -> bool {
+        self.stream.borrow().is_none()
+    }
+
+    /// Records that the body has ended, whole or not.
+    pub fn record_end(&self) {
+        self.ended_at.send_replace(Some(self.arrival.earliest_end()));
+    }
+
+    /// Completes once the body has ended, with the time of its last byte.
+    pub async fn wait_ended(&self) -> Instant {
+        match self.ended_at.subscribe().wait_for(Option::is_some).await.map(|ended_at| *ended_at) {
+            Ok(Some(ended_at)) => ended_at,
+            _ => std::future::pending().await,
+        }
+    }
+
+    /// Completes once the client may have waited for its whole time, although the body was not passed on.
+    pub async fn wait_overdue(&self) -> Overdue {
+        self.arrival.wait_overdue(self.client_time, self.max_silence).await
+    }
+
+    /// How long the client waits after its last byte.
+    pub fn client_time(&self) -> Duration {
+        self.client_time
+    }
+
+    /// What the client certainly has left, as far as its last byte may have been written.
+    pub fn time_left(&self) -> Duration {
+        self.client_time.saturating_sub(self.arrival.earliest_end().elapsed())
+    }
 }
 
 impl OutboundRequest {
     /// Whether the command can no longer be sent because a part of its body is gone.
     pub fn is_body_consumed(&self) -> bool {
-        matches!(&self.body, RequestBody::Streaming(stream) if stream.borrow().is_none())
+        self.streaming_body().is_some_and(StreamingBody::is_consumed)
     }
 
-    /// Whether the body is streaming, so that the command can be sent only once.
-    pub fn is_streaming(&self) -> bool {
-        matches!(self.body, RequestBody::Streaming(_))
+    /// The body if it is streaming, so that the command can be sent only once.
+    pub fn streaming_body(&self) -> Option<&StreamingBody> {
+        match &self.body {
+            RequestBody::Buffered(_) => None,
+            RequestBody::Streaming(body) => Some(body),
+        }
     }
 }
 
--- a/crates/node/src/request_framing.rs
+++ b/crates/node/src/request_framing.rs
@@ -231,6 +231,7 @@
         if bytes > 0 {
             self.client.arrival.record_part(&ReceivedPart {
                 arrived_at: self.arrived_at,
+                bytes,
                 is_last: self.parser.is_at_request_end(),
                 missing_bytes: self.parser.missing_bytes(),
             });
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -13,8 +13,8 @@
 use hyper::header::HeaderValue;
 use hyper::{Response, StatusCode};
 use std::rc::Rc;
-use tokio::sync::{mpsc, watch};
-use tokio::time::sleep;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, Instant};
 use tower::ServiceExt;
 use yarrowfront::command::{Command, Outcome};
 use yarrowfront::decide::Decision;
@@ -99,24 +99,20 @@
         ticket,
         _command_guard: command_guard,
     };
-    let (body_complete, mut body_completed) = watch::channel(false);
-    let body_complete = Rc::new(body_complete);
     let mut decision = dispatcher.decide(handle);
     loop {
         match decision {
             Decision::Launch(backend) => {
                 let (number, address) = (dispatcher.last_launch_number(handle), dispatcher.address(backend));
-                let (outbound, body_complete) = (outbound.clone(), body_complete.clone());
                 let control = Rc::<LaunchControl>::default();
                 active.controls.push(control.clone());
                 let launch = Launch {
-                    outbound,
+                    outbound: outbound.clone(),
                     handle,
                     number,
                     backend,
                     address,
                     deadline,
-                    body_complete,
                     control: control.clone(),
                 };
                 let (launcher, dispatcher, end) = (node.launcher.clone(), dispatcher.clone(), end.clone());
@@ -157,8 +153,8 @@
             }
         }
         let check_delay = dispatcher.time_until_check(handle);
-        // No deadline applies while the request body is streaming: the command's time counts from the last
-        // byte.
+        // While the request body is streaming, the command's time counts from the last byte, and the launch
+        // watches over it.
         let body_is_streaming = dispatcher.is_body_streaming(handle);
         decision = tokio::select! {
             biased;
@@ -172,8 +168,8 @@
                 }
                 decision
             }
-            Ok(()) = body_completed.changed(), if body_is_streaming => {
-                dispatcher.record_body_complete(handle);
+            ended_at = wait_body_ended(&outbound), if body_is_streaming => {
+                dispatcher.record_body_complete(handle, ended_at);
                 Decision::Wait
             }
             // During a stop the last byte would arrive too late for an answer. Without it the command cannot
@@ -191,6 +187,14 @@
     }
 }
 
+/// Completes once the request body has been passed on, with the time of its last byte.
+async fn wait_body_ended(outbound: &OutboundRequest) -> Instant {
+    match outbound.streaming_body() {
+        Some(body) => body.wait_ended().await,
+        None => std::future::pending().await,
+    }
+}
+
 fn answer_client(answer: BackendAnswer, active: ActiveCommand) -> Reply {
     let mut reply = Response::new(match answer.body {
         ReadBody::Buffered(body) => OutgoingBody::from(body),
--- a/crates/node/tests/waiting.rs
+++ b/crates/node/tests/waiting.rs
@@ -5,9 +5,9 @@
 mod world;
 
 use serde_json::Value;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::thread::sleep;
+use std::thread::{scope, sleep, spawn};
 use std::time::{Duration, Instant};
 use world::*;
 
@@ -131,3 +131,143 @@
     }
     assert_eq!(fixture.launch_count(), before);
 }
+
+const MIB: usize = 1 << 20;
+
+/// How a backend reads a request; it never answers one.
+#[derive(Clone, Copy, Debug)]
+enum Reading {
+    /// Reads this many bytes and then nothing more.
+    StopsAfter(usize),
+    /// Reads 64 KiB at these intervals.
+    Drips(Duration),
+    /// Reads nothing for some time, and then everything.
+    PausesFirst(Duration),
+    /// Reads 64 KiB and resets the connection.
+    Resets,
+}
+
+/// Reads from a connection in this way until the connection ends.
+fn read_request(mut stream: TcpStream, reading: Reading) {
+    let mut buffer = vec![0; 64 << 10];
+    if let Reading::PausesFirst(pause) = reading {
+        sleep(pause);
+    }
+    let mut bytes_read = 0;
+    while let Ok(count @ 1..) = stream.read(&mut buffer) {
+        bytes_read += count;
+        match reading {
+            Reading::StopsAfter(limit) if bytes_read >= limit => break,
+            Reading::Drips(interval) => sleep(interval),
+            Reading::Resets => return,
+            _ => {}
+        }
+    }
+    // Held open: its end is up to the node.
+    sleep(Duration::from_secs(20));
+}
+
+/// A node whose only backend reads in this way.
+fn fixture_with_reader(reading: Reading) -> NodeFixture {
+    let start_backends = |host: &str, _: &Launches, _: &_| {
+        let (listener, address) = bind_listener(host);
+        spawn(move || {
+            for stream in listener.incoming().flatten() {
+                spawn(move || read_request(stream, reading));
+            }
+        });
+        vec![backend_entry("reader", address)]
+    };
+    NodeFixture::with_backends(start_backends, with_limits, &[])
+}
+
+/// A request with a body of this many bytes, its length stated or in one chunk.
+fn long_request(profile: &str, body_bytes: usize, is_chunked: bool) -> Vec<u8> {
+    let head = timed_request(profile, "");
+    let body = patterned_bytes(body_bytes);
+    if is_chunked {
+        let head = head.replace("Content-Length: 0", "Transfer-Encoding: chunked");
+        return [format!("{head}{body_bytes:x}\r\n").as_bytes(), &body, b"\r\n0\r\n\r\n"].concat();
+    }
+    [head.replace("Content-Length: 0", &format!("Content-Length: {body_bytes}")).as_bytes(), &body].concat()
+}
+
+/// Sends a request and returns the status of its answer, and how long it took since its last byte was written.
+fn send_timed(fixture: &NodeFixture, request: &[u8]) -> (u16, Duration) {
+    let mut stream = fixture.connect();
+    stream.write_all(request).expect("written");
+    let since = Instant::now();
+    let status = read_message(&mut stream).unwrap_or_default().status();
+    (status, since.elapsed())
+}
+
+/// A client that has written its whole request is answered in its time, whether or not a backend reads the request. The
+/// failures: no answer at all, and one timed from when the backend had taken the last byte.
+#[test]
+fn long_bodies_at_backends_that_do_not_read_are_answered_in_time() {
+    let readings = [
+        Reading::StopsAfter(1),
+        Reading::StopsAfter(2 * MIB),
+        Reading::Drips(Duration::from_millis(50)),
+        Reading::PausesFirst(Duration::from_millis(550)),
+        Reading::Resets,
+    ];
+    let requests =
+        [("read", 100_000, false), ("pay", MIB, true), ("mark", 6 * MIB, false), ("pay", 9 * MIB, true)];
+    let run = |reading: Reading, (profile, body_bytes, is_chunked): (&str, usize, bool)| {
+        let fixture = fixture_with_reader(reading);
+        let (status, took) = send_timed(&fixture, &long_request(profile, body_bytes, is_chunked));
+        let case = format!("{reading:?}, {profile}, {body_bytes} bytes: {status} after {took:?}");
+        let is_answered = matches!(status, 502 | 503) && took < TIME_LEFT + LOST_AFTER;
+        (!is_answered).then_some(case)
+    };
+    let late: Vec<String> = scope(|scope| {
+        let cases =
+            readings.iter().flat_map(|reading| requests.iter().map(move |request| (*reading, *request)));
+        let runs: Vec<_> =
+            cases.map(|(reading, request)| scope.spawn(move || run(reading, request))).collect();
+        runs.into_iter().filter_map(|run| run.join().expect("a run")).collect()
+    });
+    assert_eq!(late, [""; 0]);
+}
+
+/// A command of which the backend has not taken the last byte has not run: its client may send it again. A client that still
+/// writes when the backend stops reading is not held for ever.
+#[test]
+fn a_command_that_was_not_taken_whole_is_rejected() {
+    for profile in ["read", "mark", "pay"] {
+        let fixture = fixture_with_reader(Reading::StopsAfter(1));
+        let since = Instant::now();
+        let (status, _) = send_timed(&fixture, &long_request(profile, 24 * MIB, false));
+        assert_eq!(status, 503, "{profile}");
+        // No look at an unchanged body is later than one client's time after another.
+        assert!(since.elapsed() < 2 * TIME_LEFT + LOST_AFTER, "{profile}: {:?}", since.elapsed());
+    }
+}
+
+/// A client that writes slowly has its whole time from its last byte, however short that is beside its pauses.
+#[test]
+fn slow_writers_keep_their_time() {
+    let fixture = NodeFixture::new(2, |_| BackendAction::Succeed, with_limits);
+    let write_slowly = |time_left_ms: u64, is_chunked: bool, pause: Duration| {
+        let whole = long_request("pay", 300_000, is_chunked);
+        let (head, rest) = whole.split_at(200);
+        let time_left = format!("Ms: {time_left_ms}");
+        let request = String::from_utf8_lossy(head).replace("Ms: 630", &time_left).into_bytes();
+        let mut stream = fixture.connect();
+        stream.write_all(&request).expect("written");
+        for part in rest.chunks(40_000) {
+            sleep(pause);
+            stream.write_all(part).expect("written");
+        }
+        read_message(&mut stream).unwrap_or_default().status()
+    };
+    scope(|scope| {
+        for (time_left_ms, is_chunked) in [(630, false), (630, true), (200, false), (200, true)] {
+            scope.spawn(move || {
+                let status = write_slowly(time_left_ms, is_chunked, Duration::from_millis(400));
+                assert_eq!(status, 200, "{time_left_ms} ms, chunked: {is_chunked}");
+            });
+        }
+    });
+}
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -419,13 +419,22 @@
         action_of: fn(usize) -> BackendAction,
         change_config: fn(&mut Value),
         environment: &[(&str, &str)],
+    ) -> NodeFixture {
+        let start_backends = |host: &str, launches: &Launches, probes: &Arc<Mutex<Vec<Message>>>| {
+            (0..backends).map(|number| start_backend(host, number, action_of, launches, probes)).collect()
+        };
+        NodeFixture::with_backends(start_backends, change_config, environment)
+    }
+
+    /// The same with backends of the caller's own: `start_backends` returns their entries of the list.
+    pub fn with_backends(
+        start_backends: impl FnOnce(&str, &Launches, &Arc<Mutex<Vec<Message>>>) -> Vec<Value>,
+        change_config: fn(&mut Value),
+        environment: &[(&str, &str)],
     ) -> NodeFixture {
         let (launches, host): (Launches, String) = (Arc::default(), unique_loopback_address());
         let probes: Arc<Mutex<Vec<Message>>> = Arc::default();
-        let mut backend_entries = Vec::new();
-        for number in 0..backends {
-            backend_entries.push(start_backend(&host, number, action_of, &launches, &probes));
-        }
+        let backend_entries = start_backends(&host, &launches, &probes);
         let (watch_lines, discovery_address, watch_count) = start_discovery(&host);
         let listen = {
             let _lock = lock_process_start();
--- a/src/command.rs
+++ b/src/command.rs
@@ -160,11 +160,12 @@
         self.launches.iter_mut().flatten().find(|l| l.state == LaunchState::InFlight && !l.is_lost)
     }
 
-    /// The last byte of the body has arrived after a launch had begun: all its times count from now.
-    pub(crate) fn on_body_complete(&mut self, now: Timestamp) {
+    /// The last byte of the body was passed on after a launch had begun. The command's time counts from when the
+    /// client had written that byte, and the launch's time from now.
+    pub(crate) fn on_body_complete(&mut self, now: Timestamp, ended_at: Timestamp) {
         (self.is_body_incomplete, self.is_body_consumed) = (false, true);
-        let delay = now.since(self.arrived_at);
-        (self.arrived_at, self.deadline) = (now, self.deadline + delay);
+        let delay = ended_at.since(self.arrived_at);
+        (self.arrived_at, self.deadline) = (self.arrived_at + delay, self.deadline + delay);
         self.reevaluate_at = self.reevaluate_at + delay;
         for launch in self.launches.iter_mut().flatten().filter(|l| l.state == LaunchState::InFlight) {
             launch.lost_at = launch.lost_at + now.since(launch.sent_at);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -265,8 +265,9 @@
 
     /// Called when the last byte of a command's body arrives after its launch has begun. Only now does the launch
     /// count as in flight: a backend starts with the last byte, and slow clients would make it look full and silent.
-    pub fn on_body_complete(&mut self, now: Timestamp, command: &mut Command) {
-        command.on_body_complete(now);
+    /// The command's own time counts from `ended_at`, when its client had written that byte.
+    pub fn on_body_complete(&mut self, now: Timestamp, ended_at: Timestamp, command: &mut Command) {
+        command.on_body_complete(now, ended_at);
         if let Some(launch) = command.awaited_launch() {
             self.backends[self.backend_indices[&launch.backend]].add_in_flight(now, launch.expected_work);
         }
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -1072,7 +1072,7 @@
         bench.finish(&mut quick, 50);
     }
     bench.advance(3000);
-    bench.node.on_body_complete(bench.now, &mut slow);
+    bench.node.on_body_complete(bench.now, bench.now, &mut slow);
     let [mut next, mut other] = [(); 2].map(|()| bench.command(0));
     assert_eq!(bench.decide(&mut next), Decision::Wait, "now it occupies the backend");
     assert_eq!(
