End answers that stall a quarter second after their client's time, unless they are long ones

Callers whose backend sent the beginning of a small answer and stalled got neither the rest nor an end for up to 60 s. Cause: an answer not whole after 100 ms is passed on, and the launch's deadline ended with that. Evidence: answers that stall in or behind their head end in time, those behind the first body bytes do not, in each framing.

--- a/crates/node/src/bodies.rs
+++ b/crates/node/src/bodies.rs
@@ -14,7 +14,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::time::{sleep, timeout, timeout_at, Instant, Sleep};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant, Sleep};
 
 /// The reason why a body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -145,6 +145,7 @@
     ) -> Result<ReadBody, ReadError> {
         let mut abandoned = pin!(abandoned);
         let announced_bytes = body.size_hint().lower();
+        let has_known_length = body.size_hint().exact().is_some();
         let exceeds_window = announced_bytes > limits.window_bytes as u64;
         if announced_bytes > limits.max_bytes as u64 {
             return Err(ReadError::TooLarge);
@@ -198,6 +199,10 @@
             max_bytes: limits.max_bytes,
             max_silence: limits.max_silence,
             silence_timer: None,
+            has_known_length,
+            is_long: exceeds_window || received_bytes > limits.window_bytes,
+            window_bytes: limits.window_bytes,
+            completion_timer: None,
             reservation,
             on_end: None,
             kept_alive: None,
@@ -227,6 +232,12 @@
     max_silence: Duration,
     /// The timeout for the next data from the sender, started when the reader had to wait for it.
     silence_timer: Option<Pin<Box<Sleep>>>,
+    has_known_length: bool,
+    /// It is larger than the window, so that its first bytes are timed and not its last.
+    is_long: bool,
+    window_bytes: usize,
+    /// When a body that is not long must have come to its end.
+    completion_timer: Option<CompletionTimer>,
     #[allow(dead_code, reason = "held for its reservation in the memory budget")]
     reservation: WindowReservation,
     /// Called once with how the body ended.
@@ -238,6 +249,22 @@
     is_cut: Rc<Cell<bool>>,
 }
 
+/// Ends a body whose end comes too late for its receiver.
+struct CompletionTimer {
+    timer: Pin<Box<Sleep>>,
+    deadline: Instant,
+    /// How long after the deadline, or after later data of a body of unknown length, the end may still come.
+    allowance: Duration,
+}
+
+impl CompletionTimer {
+    /// More of a body of unknown length has come, which may turn out to be a long one.
+    fn extend(&mut self) {
+        let end_at = self.deadline.max(Instant::now()) + self.allowance;
+        self.timer.as_mut().reset(end_at);
+    }
+}
+
 /// Held by the task that reads from the connection. When it is dropped with the connection, it marks the
 /// body as cut off.
 pub struct CutOnDrop(pub Rc<Cell<bool>>);
@@ -269,6 +296,31 @@
         (self.max_silence, self.drain_on_drop) = (max_silence, sender_is_client);
     }
 
+    /// Sets when a body that is not larger than the window must be complete, and how much later than that its
+    /// end may still come. A body of unknown length that keeps coming may be a larger one.
+    pub fn set_deadline(&mut self, deadline: Instant, allowance: Duration) {
+        if !self.is_long {
+            let timer = Box::pin(sleep_until(deadline + allowance));
+            self.completion_timer = Some(CompletionTimer { timer, deadline, allowance });
+        }
+    }
+
+    /// Counts data that has come, which may show that the body is a long one.
+    fn count_data(&mut self, bytes: usize) {
+        self.received_bytes += bytes;
+        self.is_long |= self.received_bytes > self.window_bytes;
+        if self.is_long {
+            self.completion_timer = None;
+        } else if let Some(timer) = self.completion_timer.as_mut().filter(|_| !self.has_known_length) {
+            timer.extend();
+        }
+    }
+
+    /// Whether the body's end comes too late.
+    fn is_overdue(&mut self, cx: &mut Context<'_>) -> bool {
+        self.completion_timer.as_mut().is_some_and(|completion| completion.timer.as_mut().poll(cx).is_ready())
+    }
+
     fn finish(&mut self, end: StreamEnd) {
         self.remainder = None;
         if let Some(on_end) = self.on_end.take() {
@@ -312,7 +364,7 @@
             let Poll::Ready(frame) = Pin::new(remainder).poll_frame(cx) else {
                 let max_silence = self.max_silence;
                 let silence_timer = self.silence_timer.get_or_insert_with(|| Box::pin(sleep(max_silence)));
-                if silence_timer.as_mut().poll(cx).is_pending() {
+                if silence_timer.as_mut().poll(cx).is_pending() && !self.is_overdue(cx) {
                     return Poll::Pending;
                 }
                 self.finish(StreamEnd::Broken);
@@ -336,7 +388,7 @@
             };
             // Trailers apply only to the connection on which they arrived.
             let Ok(data) = data else { continue };
-            self.received_bytes += data.len();
+            self.count_data(data.len());
             if self.received_bytes > self.max_bytes {
                 self.finish(StreamEnd::Broken);
                 return Poll::Ready(Some(Err(ReadError::TooLarge)));
--- a/crates/node/src/client_service.rs
+++ b/crates/node/src/client_service.rs
@@ -142,12 +142,12 @@
                 // When the connection closes, hyper drops this future together with the rest of the body.
                 _cut_guard = Some(stream.cut_guard());
                 client.recheck.notify_one();
-                RequestBody::Streaming(StreamingBody::new(
+                RequestBody::Streaming(Box::new(StreamingBody::new(
                     stream,
                     client.arrival.clone(),
                     Duration::from_micros(time_left.0),
                     self.limits.client_silence,
-                ))
+                )))
             }
         };
         let outbound = Rc::new(OutboundRequest { method, uri: path.into(), headers, body });
--- a/crates/node/src/launch.rs
+++ b/crates/node/src/launch.rs
@@ -48,6 +48,8 @@
 pub struct Launcher {
     pub pool: Rc<Pool>,
     pub dispatcher: Rc<Dispatcher>,
+    /// How long after its client's time an answer that has begun may still come to its end.
+    pub late_answer_allowance: Duration,
 }
 
 impl Service<Launch> for Launcher {
@@ -141,7 +143,16 @@
                     request = retried_request;
                     continue;
                 }
-                Exchange::Answered(response) => self.read_answer(&mut result, response),
+                Exchange::Answered(mut response) => {
+                    if let ReadBody::Streaming(stream) = response.body_mut() {
+                        let deadline = match launch.outbound.streaming_body() {
+                            Some(body) => body.deadline(),
+                            None => deadline,
+                        };
+                        stream.set_deadline(deadline, self.late_answer_allowance);
+                    }
+                    self.read_answer(&mut result, response);
+                }
                 Exchange::ConnectFailed(request) => {
                     return_body(&launch, request);
                     result.outcome = Outcome::ConnectFailed;
--- a/crates/node/src/launch_types.rs
+++ b/crates/node/src/launch_types.rs
@@ -29,7 +29,7 @@
 /// The body of a command.
 pub enum RequestBody {
     Buffered(Bytes),
-    Streaming(StreamingBody),
+    Streaming(Box<StreamingBody>),
 }
 
 /// A body that is passed on while it arrives. It can be sent only once.
@@ -92,6 +92,11 @@
         self.client_time
     }
 
+    /// When the client's time is over, as far as its last byte may have been written.
+    pub fn deadline(&self) -> Instant {
+        self.ended_at.borrow().unwrap_or_else(|| self.arrival.earliest_end()) + self.client_time
+    }
+
     /// What the client certainly has left, as far as its last byte may have been written.
     pub fn time_left(&self) -> Duration {
         self.client_time.saturating_sub(self.arrival.earliest_end().elapsed())
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -214,7 +214,11 @@
     let stop_waiter = lifecycle.clone();
     spawn_local(async move { stop_waiter.wait_for_stop_signal(signals.stop).await });
 
-    let launcher = launch::Launcher { pool, dispatcher: dispatcher.clone() };
+    let launcher = launch::Launcher {
+        pool,
+        dispatcher: dispatcher.clone(),
+        late_answer_allowance: limits.late_answer_allowance,
+    };
     peer.take_over(old_process).await;
     if let Some(fleet) = &fleet {
         spawn_local(fleet.clone().run());
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -101,6 +101,9 @@
     pub client_idle_timeout: Duration,
     /// The maximum time that a command may be in flight, whatever its client asks for.
     pub max_command_time: Duration,
+    /// How long after its client's time an answer that has begun may still come to its end. Half a second after
+    /// its time it would be lost.
+    pub late_answer_allowance: Duration,
     /// The interval between two sweeps of idle connections to backends.
     pub sweep_interval: Duration,
     /// The pause after a failed accept. A resource that was lacking becomes free, if ever, without the
@@ -230,6 +233,7 @@
             // buffer.
             client_idle_timeout: Duration::from_secs(20),
             max_command_time: Duration::from_secs(600),
+            late_answer_allowance: Duration::from_millis(250),
             sweep_interval: Duration::from_secs(1),
             accept_retry_pause: Duration::from_millis(5),
             timer_resolution: Duration::from_millis(1),
--- a/crates/node/tests/waiting.rs
+++ b/crates/node/tests/waiting.rs
@@ -271,3 +271,50 @@
         }
     });
 }
+
+/// Answers that begin and are never finished, in each framing.
+const UNFINISHED_ANSWERS: [&str; 5] = [
+    "HTTP/1.1 200 OK\r\nContent-Le",
+    "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nthe beginning",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nd\r\nthe beginning\r\n",
+    "HTTP/1.1 200 OK\r\n\r\nthe beginning",
+];
+
+/// A client whose answer begins and is not finished learns that in its time: by an error, or by the end of the connection
+/// where the answer's framing shows that it is not whole.
+#[test]
+fn unfinished_answers_are_ended_in_time() {
+    let start = |number: usize| -> fn(usize) -> BackendAction {
+        match number {
+            0 => |_| BackendAction::RawText(UNFINISHED_ANSWERS[0]),
+            1 => |_| BackendAction::RawText(UNFINISHED_ANSWERS[1]),
+            2 => |_| BackendAction::RawText(UNFINISHED_ANSWERS[2]),
+            3 => |_| BackendAction::RawText(UNFINISHED_ANSWERS[3]),
+            _ => |_| BackendAction::RawText(UNFINISHED_ANSWERS[4]),
+        }
+    };
+    let run = |number: usize, profile: &str| {
+        let fixture = NodeFixture::new(2, start(number), with_limits);
+        let (status, took) = send_timed(&fixture, timed_request(profile, "a body").as_bytes());
+        let case = format!("{profile}, {:?}: {status} after {took:?}", UNFINISHED_ANSWERS[number]);
+        let is_ended = status != 200 && took < TIME_LEFT + LOST_AFTER;
+        (!is_ended).then_some(case)
+    };
+    let late: Vec<String> = scope(|scope| {
+        let cases =
+            (0..UNFINISHED_ANSWERS.len()).flat_map(|n| ["read", "mark", "pay"].map(|profile| (n, profile)));
+        let runs: Vec<_> = cases.map(|(n, profile)| scope.spawn(move || run(n, profile))).collect();
+        runs.into_iter().filter_map(|run| run.join().expect("a run")).collect()
+    });
+    assert_eq!(late, [""; 0]);
+}
+
+/// An answer of unknown length that keeps coming may be a long one, whose first bytes are timed: it is passed on whole.
+#[test]
+fn long_answers_are_passed_on_after_the_deadline() {
+    let fixture = NodeFixture::new(1, |_| BackendAction::SlowChunks(12), with_limits);
+    let answer = fixture.send_request(&timed_request("read", "a body"));
+    assert_eq!(answer.status(), 200);
+    assert!(answer.body == patterned_bytes(120_000), "{} bytes", answer.body.len());
+}
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -153,6 +153,8 @@
     PauseInBody(usize),
     /// Announces this many bytes, sends half of them and closes the connection.
     HalfOfBody(usize),
+    /// This many chunks of 10,000 bytes, one every 100 ms.
+    SlowChunks(usize),
     /// A small answer, sent byte by byte.
     ByteByByte,
     /// Exactly this text.
@@ -233,6 +235,15 @@
             }
             sent && write(b"0\r\nX-Trailer: yes\r\n\r\n")
         }
+        BackendAction::SlowChunks(count) => {
+            let started = write(head("Transfer-Encoding: chunked\r\n".to_owned()).as_bytes());
+            let write_chunk = |part: &[u8]| {
+                sleep(Duration::from_millis(100));
+                write(format!("{:x}\r\n", part.len()).as_bytes()) && write(part) && write(b"\r\n")
+            };
+            let all_sent = patterned_bytes(count * 10_000).chunks(10_000).all(write_chunk);
+            started && all_sent && write(b"0\r\n\r\n")
+        }
         BackendAction::ByteByByte => SUCCESS_RESPONSE.bytes().all(|byte| {
             sleep(Duration::from_millis(1));
             write(&[byte])
