Split the serving of a connection and the task of a launch from their callers

start_connection and serve had grown to 100 lines and more with a task inside. Each task is a function of its own now, and the table of unfinished answers in waiting.rs holds the answers themselves. Behaviour is unchanged: the tests of waiting, endings, bodies and sockets pass.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -194,67 +194,72 @@
     limits.sockets.clients.set(clients.open.borrow().len());
     let (clients, node) = (clients.clone(), node.clone());
     tokio::task::spawn_local(async move {
-        let mut builder = http1::Builder::new();
-        let limits = node.limits.clone();
-        builder.max_buf_size(limits.max_head_bytes);
-        let request_observer = RequestObserver::new(client.clone(), limits.max_head_bytes);
-        let observed = ObservedStream { stream, observer: request_observer };
-        let service = TowerToHyperService::new(ClientService { node: node.clone(), client: client.clone() });
-        let mut connection = builder.serve_connection(TokioIo::new(observed), service);
-        let (mut is_closing, mut has_shut_down) = (false, false);
-        let is_graceful = loop {
-            let idle_deadline = client.idle_deadline(&limits).max(Instant::now() + limits.idle_after);
-            tokio::select! {
-                // Input comes first: a command that was already read is answered before the connection
-                // closes.
-                biased;
-                // When the client closes, the connection ends: the commands in flight are dropped, and the
-                // balancer is informed.
-                _ = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break true,
-                () = ready(()), if is_closing => {
-                    Pin::new(&mut connection).graceful_shutdown();
-                    (is_closing, has_shut_down) = (false, true);
-                }
-                // Everything that had come was read, and no request is complete. The place is needed now:
-                // connections that wait to be accepted may hold complete requests.
-                () = ready(()), if has_shut_down
-                    && client.is_evicted.get()
-                    && !client.owes_answer(limits.client_silence) => break false,
-                () = client.recheck.notified() => {
-                    // The client's close was detected behind data that is not being read at present.
-                    if client.close_detected.get() {
-                        break true;
-                    }
-                    if client.close_requested.take() {
-                        // Yield once, so that data already in the kernel's buffer is read before the
-                        // connection closes.
-                        yield_now().await;
-                        is_closing = true;
-                    }
+        serve_connection(stream, client, &node).await;
+        clients.open.borrow_mut().remove(connection_key);
+        node.limits.sockets.clients.set(clients.open.borrow().len());
+        clients.connection_closed.notify_one();
+    });
+}
+
+/// Serves the requests on a connection until it has ended.
+async fn serve_connection(stream: Transport, client: Rc<ClientConnection>, node: &Rc<Node>) {
+    let mut builder = http1::Builder::new();
+    let limits = &node.limits;
+    builder.max_buf_size(limits.max_head_bytes);
+    let request_observer = RequestObserver::new(client.clone(), limits.max_head_bytes);
+    let observed = ObservedStream { stream, observer: request_observer };
+    let service = TowerToHyperService::new(ClientService { node: node.clone(), client: client.clone() });
+    let mut connection = builder.serve_connection(TokioIo::new(observed), service);
+    let (mut is_closing, mut has_shut_down) = (false, false);
+    let is_graceful = loop {
+        let idle_deadline = client.idle_deadline(limits).max(Instant::now() + limits.idle_after);
+        tokio::select! {
+            // Input comes first: a command that was already read is answered before the connection
+            // closes.
+            biased;
+            // When the client closes, the connection ends: the commands in flight are dropped, and the
+            // balancer is informed.
+            _ = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break true,
+            () = ready(()), if is_closing => {
+                Pin::new(&mut connection).graceful_shutdown();
+                (is_closing, has_shut_down) = (false, true);
+            }
+            // Everything that had come was read, and no request is complete. The place is needed now:
+            // connections that wait to be accepted may hold complete requests.
+            () = ready(()), if has_shut_down
+                && client.is_evicted.get()
+                && !client.owes_answer(limits.client_silence) => break false,
+            () = client.recheck.notified() => {
+                // The client's close was detected behind data that is not being read at present.
+                if client.close_detected.get() {
+                    break true;
                 }
-                // The loop then checks for the client's close on each turn.
-                () = sleep(limits.idle_after), if client.cannot_detect_close() => {}
-                // As above for an evicted connection that still owes an answer.
-                () = sleep(limits.idle_after), if client.is_evicted.get() => {}
-                () = sleep_until(idle_deadline), if !client.is_evicted.get() => {
-                    if client.commands.get() == 0 && client.idle_deadline(&limits) <= Instant::now() {
-                        client.evict();
-                    }
+                if client.close_requested.take() {
+                    // Yield once, so that data already in the kernel's buffer is read before the
+                    // connection closes.
+                    yield_now().await;
+                    is_closing = true;
                 }
             }
-        };
-        // Nothing was written to an evicted client without a request, so nothing of it can be lost.
-        if is_graceful && !(client.is_evicted.get() && client.is_unused()) {
-            let stream = connection.into_parts().io.into_inner().stream;
-            tokio::select! {
-                () = close_gracefully(stream, limits.close_timeout) => {}
-                () = client.wait_while_lingering() => {}
+            // The loop then checks for the client's close on each turn.
+            () = sleep(limits.idle_after), if client.cannot_detect_close() => {}
+            // As above for an evicted connection that still owes an answer.
+            () = sleep(limits.idle_after), if client.is_evicted.get() => {}
+            () = sleep_until(idle_deadline), if !client.is_evicted.get() => {
+                if client.commands.get() == 0 && client.idle_deadline(limits) <= Instant::now() {
+                    client.evict();
+                }
             }
         }
-        clients.open.borrow_mut().remove(connection_key);
-        node.limits.sockets.clients.set(clients.open.borrow().len());
-        clients.connection_closed.notify_one();
-    });
+    };
+    // Nothing was written to an evicted client without a request, so nothing of it can be lost.
+    if is_graceful && !(client.is_evicted.get() && client.is_unused()) {
+        let stream = connection.into_parts().io.into_inner().stream;
+        tokio::select! {
+            () = close_gracefully(stream, limits.close_timeout) => {}
+            () = client.wait_while_lingering() => {}
+        }
+    }
 }
 
 /// Closes the sending side, then reads until the client closes too or the wait is over. If the connection
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -113,30 +113,11 @@
                     backend,
                     address,
                     deadline,
-                    control: control.clone(),
+                    control,
                 };
-                let (launcher, dispatcher, end) = (node.launcher.clone(), dispatcher.clone(), end.clone());
-                active
-                    .recorder
-                    .iter_mut()
-                    .for_each(|recorder| recorder.record_launch(dispatcher.clock.now()));
-                // The launch has its own task: if the client disconnects, the balancer still learns the
-                // outcome.
-                tokio::task::spawn_local(async move {
-                    let result = tokio::select! {
-                        biased;
-                        Ok(result) = launcher.oneshot(launch) => result,
-                        // Dropping the launch closes its connection. If it was written, the backend may have
-                        // run it.
-                        () = control.wait_cancelled() => LaunchResult::without_answer(number, backend, match control.may_be_written() {
-                            true => Outcome::Cancelled,
-                            false => Outcome::NotSent,
-                        }),
-                    };
-                    if let Err(unreceived) = end.send(result) {
-                        dispatcher.record_launch_result(handle, &unreceived.0, false);
-                    }
-                });
+                let now = dispatcher.clock.now();
+                active.recorder.iter_mut().for_each(|recorder| recorder.record_launch(now));
+                spawn_launch(node, launch, end.clone());
             }
             Decision::Wait => {}
             Decision::Reject(retry_after) => {
@@ -187,6 +168,27 @@
     }
 }
 
+/// Runs a launch in a task of its own: if the client disconnects, the balancer still learns the outcome.
+fn spawn_launch(node: &Node, launch: Launch, results: mpsc::UnboundedSender<LaunchResult>) {
+    let (launcher, dispatcher) = (node.launcher.clone(), node.dispatcher.clone());
+    let (handle, number, backend) = (launch.handle, launch.number, launch.backend);
+    let control = launch.control.clone();
+    tokio::task::spawn_local(async move {
+        let result = tokio::select! {
+            biased;
+            Ok(result) = launcher.oneshot(launch) => result,
+            // Dropping the launch closes its connection. If it was written, the backend may have run it.
+            () = control.wait_cancelled() => {
+                let outcome = if control.may_be_written() { Outcome::Cancelled } else { Outcome::NotSent };
+                LaunchResult::without_answer(number, backend, outcome)
+            }
+        };
+        if let Err(unreceived) = results.send(result) {
+            dispatcher.record_launch_result(handle, &unreceived.0, false);
+        }
+    });
+}
+
 /// Completes once the request body has been passed on, with the time of its last byte.
 async fn wait_body_ended(outbound: &OutboundRequest) -> Instant {
     match outbound.streaming_body() {
--- a/crates/node/tests/waiting.rs
+++ b/crates/node/tests/waiting.rs
@@ -273,38 +273,29 @@
 }
 
 /// Answers that begin and are never finished, in each framing.
-const UNFINISHED_ANSWERS: [&str; 5] = [
-    "HTTP/1.1 200 OK\r\nContent-Le",
-    "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n",
-    "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nthe beginning",
-    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nd\r\nthe beginning\r\n",
-    "HTTP/1.1 200 OK\r\n\r\nthe beginning",
+const UNFINISHED_ANSWERS: [fn(usize) -> BackendAction; 5] = [
+    |_| BackendAction::RawText("HTTP/1.1 200 OK\r\nContent-Le"),
+    |_| BackendAction::RawText("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n"),
+    |_| BackendAction::RawText("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nthe beginning"),
+    |_| BackendAction::RawText("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nd\r\nthe beginning\r\n"),
+    |_| BackendAction::RawText("HTTP/1.1 200 OK\r\n\r\nthe beginning"),
 ];
 
 /// A client whose answer begins and is not finished learns that in its time: by an error, or by the end of the connection
-/// where the answer's framing shows that it is not whole.
+/// where the answer's framing shows that it is not whole. The failure: the beginning, and nothing more for a minute.
 #[test]
 fn unfinished_answers_are_ended_in_time() {
-    let start = |number: usize| -> fn(usize) -> BackendAction {
-        match number {
-            0 => |_| BackendAction::RawText(UNFINISHED_ANSWERS[0]),
-            1 => |_| BackendAction::RawText(UNFINISHED_ANSWERS[1]),
-            2 => |_| BackendAction::RawText(UNFINISHED_ANSWERS[2]),
-            3 => |_| BackendAction::RawText(UNFINISHED_ANSWERS[3]),
-            _ => |_| BackendAction::RawText(UNFINISHED_ANSWERS[4]),
-        }
-    };
-    let run = |number: usize, profile: &str| {
-        let fixture = NodeFixture::new(2, start(number), with_limits);
+    let run = |answer: fn(usize) -> BackendAction, profile: &str| {
+        let fixture = NodeFixture::new(2, answer, with_limits);
         let (status, took) = send_timed(&fixture, timed_request(profile, "a body").as_bytes());
-        let case = format!("{profile}, {:?}: {status} after {took:?}", UNFINISHED_ANSWERS[number]);
         let is_ended = status != 200 && took < TIME_LEFT + LOST_AFTER;
-        (!is_ended).then_some(case)
+        (!is_ended).then(|| format!("{profile}, {:?}: {status} after {took:?}", answer(0)))
     };
     let late: Vec<String> = scope(|scope| {
-        let cases =
-            (0..UNFINISHED_ANSWERS.len()).flat_map(|n| ["read", "mark", "pay"].map(|profile| (n, profile)));
-        let runs: Vec<_> = cases.map(|(n, profile)| scope.spawn(move || run(n, profile))).collect();
+        let cases = UNFINISHED_ANSWERS
+            .iter()
+            .flat_map(|answer| ["read", "mark", "pay"].map(|profile| (*answer, profile)));
+        let runs: Vec<_> = cases.map(|(answer, profile)| scope.spawn(move || run(answer, profile))).collect();
         runs.into_iter().filter_map(|run| run.join().expect("a run")).collect()
     });
     assert_eq!(late, [""; 0]);
