Make room for requests also where descriptors run out before the node's own limit

Callers got no answer while idle connections held all descriptors of the process: accepts failed, were tried again, and nobody made room. Evidence: a descriptor limit of 64 set on the running process, 200 connections that stay: no answer within 10 s.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -3,6 +3,7 @@
 
 use crate::client_connections::{close_idle, ClientConnection, ClientConnections};
 use crate::client_service::ClientService;
+use crate::limits::Limits;
 use crate::log::log;
 use crate::node::Node;
 use crate::observed_stream::ObservedStream;
@@ -46,12 +47,15 @@
 }
 
 impl AcceptFailures {
-    /// Pauses if the failures persist, as they do when file descriptors run out.
-    async fn record(&mut self, pause: Duration) {
+    /// If the failures persist, as they do when file descriptors run out, closes an idle connection and waits
+    /// until a connection has closed, or for a pause.
+    async fn record(&mut self, clients: &ClientConnections, limits: &Limits) {
         self.consecutive += 1;
-        if self.consecutive > MAX_FAILURES_WITHOUT_PAUSE {
-            sleep(pause).await;
+        if self.consecutive <= MAX_FAILURES_WITHOUT_PAUSE {
+            return;
         }
+        close_idle(&clients.open.borrow(), limits.crowded_idle_after);
+        let _ = timeout(limits.accept_retry_pause, clients.connection_closed.notified()).await;
     }
 
     fn reset(&mut self) {
@@ -91,7 +95,7 @@
             }
             Err(error) => {
                 log!("accept: {error}");
-                failures.record(node.limits.accept_retry_pause).await;
+                failures.record(&clients, &node.limits).await;
             }
         }
     }
@@ -110,7 +114,7 @@
             }
             // File descriptors may run out for a moment. That is no reason to abandon the queued
             // connections.
-            Ok(Err(_)) => failures.record(node.limits.accept_retry_pause).await,
+            Ok(Err(_)) => failures.record(&clients, &node.limits).await,
             Err(_) => break,
         }
     }
--- a/crates/node/tests/waiting.rs
+++ b/crates/node/tests/waiting.rs
@@ -4,6 +4,7 @@
 #[allow(dead_code)]
 mod world;
 
+use rustix::process::{prlimit, Pid, Resource, Rlimit};
 use serde_json::Value;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -61,6 +62,23 @@
     }
 }
 
+/// Where descriptors run out before the node's own limit, connections make room as they do at that limit. The failure: accepts
+/// failed for as long as the connections stayed, and a request got no answer within 10 s.
+#[test]
+fn a_crowd_that_takes_all_descriptors_holds_up_no_request() {
+    const CROWD_SIZE: usize = 200;
+    let fixture = NodeFixture::new(2, |_| BackendAction::Succeed, with_limits);
+    assert_eq!(fixture.send_command("read").status(), 200);
+    let process = Pid::from_child(&fixture.process);
+    let few = Rlimit { current: Some(64), maximum: Some(64) };
+    prlimit(Some(process), Resource::Nofile, few).expect("a lower limit");
+    let _crowd = connect_crowd(fixture.listen, CROWD_SIZE);
+    let since = Instant::now();
+    let status = fixture.send_command("read").status();
+    assert!(since.elapsed() < TIME_LEFT + LOST_AFTER, "{status} after {:?}", since.elapsed());
+    assert_eq!(status, 200);
+}
+
 /// Writes these requests while the process is held up for some time, each on its connection.
 fn write_while_stopped(fixture: &NodeFixture, stopped_for: Duration, requests: &mut [(TcpStream, String)]) {
     fixture.send_signal("-STOP");
