--- a/crates/node/src/launch.rs
+++ b/crates/node/src/launch.rs
@@ -180,10 +180,14 @@
             RequestBody::Buffered(body) => OutgoingBody::from(body.clone()),
             RequestBody::Streaming(body) => match body.take() {
                 Some(mut stream) => {
-                    let (stream_end, outbound) = (stream_end.clone(), launch.outbound.clone());
+                    // The request owns its body again if that is put back, so the body must not own the request.
+                    let (stream_end, outbound) = (stream_end.clone(), Rc::downgrade(&launch.outbound));
                     stream.on_end(move |end| {
                         stream_end.set(Some(end));
-                        outbound.streaming_body().iter().for_each(|body| body.record_end());
+                        let outbound = outbound.upgrade();
+                        if let Some(body) = outbound.as_ref().and_then(|outbound| outbound.streaming_body()) {
+                            body.record_end();
+                        }
                     });
                     OutgoingBody::Streaming(stream)
                 }
--- a/crates/node/tests/waiting.rs
+++ b/crates/node/tests/waiting.rs
@@ -31,7 +31,7 @@
 /// Connects clients that stay and send nothing, the beginning of a head, or all but the end of a body.
 fn connect_crowd(address: SocketAddr, size: usize) -> Vec<TcpStream> {
     let whole = timed_request("read", "half");
-    let parts = ["", &whole[..40], &whole[..whole.len() - 3], "GET /up HTTP/1.1\r\nHost: n\r\n\r\n"];
+    let parts = ["", &whole[..40], &whole[..whole.len() - 3], UP_REQUEST];
     let connect = |number: usize| {
         let mut stream = connect_to(address);
         stream.write_all(parts[number % parts.len()].as_bytes()).expect("written");
@@ -327,3 +327,21 @@
     assert_eq!(answer.status(), 200);
     assert!(answer.body == patterned_bytes(120_000), "{} bytes", answer.body.len());
 }
+
+/// A body that was put back, as no backend could be reached, is let go with its command: what is left of it is drained, and its
+/// client reads the answer. The failure: the body and its command held each other for good.
+#[test]
+fn a_body_put_back_is_let_go_with_its_command() {
+    let start_backends = |host: &str, _: &Launches, _: &_| {
+        let (listener, address) = bind_listener(host);
+        drop(listener);
+        vec![backend_entry("refuses", address)]
+    };
+    let fixture = NodeFixture::with_backends(start_backends, with_limits, &[]);
+    let mut stream = fixture.connect();
+    stream.set_write_timeout(Some(Duration::from_secs(5))).expect("a timeout");
+    stream.write_all(&long_request("pay", 24 * MIB, false)).expect("the rest is drained");
+    assert_eq!(read_message(&mut stream).unwrap_or_default().status(), 503);
+    stream.write_all(UP_REQUEST.as_bytes()).expect("written");
+    assert_eq!(read_message(&mut stream).unwrap_or_default().status(), 200);
+}
