--- a/crates/node/tests/shims/system_calls.c
+++ b/crates/node/tests/shims/system_calls.c
@@ -2,11 +2,18 @@
  * SHIM_SHORT=N: one in N reads and writes of sockets transfers only a part of what it could.
  * SHIM_INTERRUPT=N: one in N of them fails with EINTR and transfers nothing.
  * SHIM_ACCEPT=N: one in N accepts fails, with each of the documented transient errors in turn.
- * SHIM_CONNECT=N: one in N connects fails as if no local port were free. */
+ * SHIM_CONNECT=N: one in N connects fails as if no local port were free.
+ * SHIM_TCP_INFO_BYTES=N: the kernel's record of a TCP connection has N bytes, as it differs between versions of Linux;
+ *   0: the kernel does not know the option.
+ * SHIM_LAST_DATA_MS=N: the record states that the newest data came N ms ago. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stddef.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 
@@ -88,3 +95,30 @@
     }
     return original(fd, address, length);
 }
+
+int getsockopt(int fd, int level, int name, void *value, socklen_t *length) {
+    LOAD_ORIGINAL(getsockopt);
+    const char *size = getenv("SHIM_TCP_INFO_BYTES"), *age = getenv("SHIM_LAST_DATA_MS");
+    if (level != IPPROTO_TCP || name != TCP_INFO || !(size || age)) {
+        return original(fd, level, name, value, length);
+    }
+    if (size && strtoul(size, 0, 10) == 0) {
+        errno = ENOPROTOOPT;
+        return -1;
+    }
+    unsigned char record[1024] = {0};
+    socklen_t record_length = sizeof record;
+    if (original(fd, level, name, record, &record_length) != 0) {
+        return -1;
+    }
+    if (age) {
+        unsigned int age_ms = strtoul(age, 0, 10);
+        memcpy(record + offsetof(struct tcp_info, tcpi_last_data_recv), &age_ms, sizeof age_ms);
+    }
+    if (size) {
+        record_length = strtoul(size, 0, 10);
+    }
+    *length = record_length < *length ? record_length : *length;
+    memcpy(value, record, *length);
+    return 0;
+}
--- a/crates/node/tests/system_calls.rs
+++ b/crates/node/tests/system_calls.rs
@@ -106,6 +106,40 @@
     assert_eq!(failed_commands(&fixture, "pay"), [""; 0]);
 }
 
+/// The sizes that the kernel's record of a TCP connection has had: Linux 2.6, 4.9, 5.4, 5.5 to 6.6, later; then sizes that end
+/// within a field that is used, and 0 for kernels without this record.
+const TCP_INFO_BYTES: [&str; 8] = ["104", "192", "232", "240", "280", "55", "1", "0"];
+
+/// Guards against processes that end at their first connection because the kernel's record of it is shorter than at build time.
+/// The failure: exit code 101 within 30 ms of the start, `invalid getsockopt implementation` (left 232, right 280).
+#[test]
+fn a_tcp_info_record_of_any_size_ends_no_process() {
+    const PROCESS_COUNT: usize = 4;
+    for bytes in TCP_INFO_BYTES {
+        let mut fixtures: Vec<_> =
+            (0..PROCESS_COUNT).map(|_| node_with_shim(&[("SHIM_TCP_INFO_BYTES", bytes)], 2)).collect();
+        for fixture in &mut fixtures {
+            for profile in ["read", "mark", "pay"] {
+                assert_eq!(failed_commands(fixture, profile), [""; 0], "{bytes} bytes, {profile}");
+            }
+            assert_eq!(fixture.process.try_wait().expect("a state"), None, "{bytes} bytes");
+        }
+    }
+}
+
+/// Guards against arithmetic on an age that no connection can have: some kernels leave the field unset, others count from the
+/// start of the machine.
+#[test]
+fn an_impossible_age_of_the_newest_data_ends_no_process() {
+    for age_ms in ["4294967295", "2147483648", "86400000"] {
+        let mut fixture = node_with_shim(&[("SHIM_LAST_DATA_MS", age_ms)], 2);
+        for profile in ["read", "pay"] {
+            assert_eq!(failed_commands(&fixture, profile), [""; 0], "{age_ms} ms, {profile}");
+        }
+        assert_eq!(fixture.process.try_wait().expect("a state"), None, "{age_ms} ms");
+    }
+}
+
 /// Kills a node after 20 s unless the test has ended by then, so that a hanging node fails the test.
 struct KillAfterTimeout(Arc<AtomicBool>);
 
