Log commands by id with why they were refused or launched again, and count each reason

What was missing in the incident: no line told which command was refused or launched again and why a connection was closed, and a panic wrote several lines of its own. Now metrics.rs counts connections, commands, refusals and launches by reason (GET /metrics at the operators' address, and the last line of a planned stop), the lines of a command carry its id, and a panic is one line that never waits for a full pipe.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -1,10 +1,11 @@
 //! Connections from clients: accepting and counting them, and closing them when sockets run short or the
 //! node stops.
 
-use crate::client_connections::{close_idle, ClientConnection, ClientConnections};
+use crate::client_connections::{close_idle, ClientConnection, ClientConnections, CloseReason};
 use crate::client_service::ClientService;
 use crate::limits::Limits;
 use crate::log::log;
+use crate::metrics::{count, Counter};
 use crate::node::Node;
 use crate::observed_stream::ObservedStream;
 use crate::receive_time::time_since_last_data;
@@ -51,6 +52,7 @@
     /// until a connection has closed, or for a pause.
     async fn record(&mut self, clients: &ClientConnections, limits: &Limits) {
         self.consecutive += 1;
+        count(Counter::AcceptsFailed);
         if self.consecutive <= MAX_FAILURES_WITHOUT_PAUSE {
             return;
         }
@@ -121,7 +123,7 @@
     drop(listener);
     node.lifecycle.wait_until_stopped_for(node.limits.keep_idle_after_stop).await;
     for (_, client) in clients.open.borrow().iter() {
-        client.request_close();
+        client.request_close(CloseReason::Stopping);
     }
     let all_closed = async {
         while !clients.open.borrow().is_empty() {
@@ -154,7 +156,7 @@
             .iter()
             .filter(|(_, client)| !client.is_evicted.get() && client.is_idle(idle_after))
         {
-            client.evict();
+            client.evict(CloseReason::Draining);
         }
         sleep(idle_after).await;
     }
@@ -178,7 +180,19 @@
     );
 }
 
+/// Counts the end of a connection by its reason.
+fn count_close(client: &ClientConnection) {
+    count(match client.close_reason() {
+        None => Counter::ConnectionsEnded,
+        Some(CloseReason::Idle) => Counter::ConnectionsClosedIdle,
+        Some(CloseReason::MakesRoom) => Counter::ConnectionsClosedForRoom,
+        Some(CloseReason::Draining) => Counter::ConnectionsClosedDraining,
+        Some(CloseReason::Stopping) => Counter::ConnectionsClosedStopping,
+    });
+}
+
 fn start_connection(stream: TcpStream, clients: &Rc<ClientConnections>, node: &Rc<Node>) {
+    count(Counter::ConnectionsAccepted);
     log_accept_delay(time_since_last_data(&stream), clients);
     let stream = Transport::new(stream);
     let limits = &node.limits;
@@ -198,7 +212,8 @@
     limits.sockets.clients.set(clients.open.borrow().len());
     let (clients, node) = (clients.clone(), node.clone());
     tokio::task::spawn_local(async move {
-        serve_connection(stream, client, &node).await;
+        serve_connection(stream, client.clone(), &node).await;
+        count_close(&client);
         clients.open.borrow_mut().remove(connection_key);
         node.limits.sockets.clients.set(clients.open.borrow().len());
         clients.connection_closed.notify_one();
@@ -251,7 +266,7 @@
             () = sleep(limits.idle_after), if client.is_evicted.get() => {}
             () = sleep_until(idle_deadline), if !client.is_evicted.get() => {
                 if client.commands.get() == 0 && client.idle_deadline(limits) <= Instant::now() {
-                    client.evict();
+                    client.evict(CloseReason::Idle);
                 }
             }
         }
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -10,6 +10,7 @@
 use crate::lifecycle::Lifecycle;
 use crate::limits::Limits;
 use crate::log::log;
+use crate::metrics;
 use crate::reply::{text_reply, Reply};
 use crate::sites::Sites;
 use crate::transport::Transport;
@@ -87,6 +88,7 @@
             AdminRequest::Ready => return self.ready(),
             AdminRequest::Fleet { plain } => return self.fleet(plain),
             AdminRequest::Counts { after } => return self.counts(after),
+            AdminRequest::Metrics => return text_reply(StatusCode::OK, metrics::to_text().trim_end()),
             AdminRequest::Settings => return self.settings().await,
             AdminRequest::Sites => return self.sites(),
             AdminRequest::Site { name, action } => return self.site(&name, &action),
--- a/crates/node/src/admin_request.rs
+++ b/crates/node/src/admin_request.rs
@@ -23,6 +23,8 @@
         #[serde(rename = "word")]
         action: String,
     },
+    /// The counters of this process, as text.
+    Metrics,
     /// The settings in force.
     Settings,
     /// A request of a rollout's leader, which is in the body.
@@ -53,6 +55,7 @@
         "/fleet" => (AdminRequest::Fleet { plain: false }, Method::GET),
         "/fleet.txt" => (AdminRequest::Fleet { plain: true }, Method::GET),
         "/counts" => (AdminRequest::Counts { after: 0 }, Method::GET),
+        "/metrics" => (AdminRequest::Metrics, Method::GET),
         "/sites" => (AdminRequest::Sites, Method::GET),
         "/settings" => (AdminRequest::Settings, Method::GET),
         "/rollout" => (AdminRequest::Rollout, Method::PUT),
@@ -93,6 +96,7 @@
             AdminRequest::Ready
             | AdminRequest::Fleet { .. }
             | AdminRequest::Counts { .. }
+            | AdminRequest::Metrics
             | AdminRequest::Settings
             | AdminRequest::Rollout
             | AdminRequest::Sites
--- a/crates/node/src/client_connections.rs
+++ b/crates/node/src/client_connections.rs
@@ -10,6 +10,18 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+/// Why the node closes a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseReason {
+    /// It has been idle, or in the middle of a head, for too long.
+    Idle,
+    /// Its place is needed for another connection.
+    MakesRoom,
+    /// Operators have the clients drained.
+    Draining,
+    Stopping,
+}
+
 /// A connection from a client.
 pub struct ClientConnection {
     clients: Rc<ClientConnections>,
@@ -32,8 +44,9 @@
     /// Notifies the connection's task to check its state again: what follows the current request, and
     /// whether it can still detect the client's close.
     pub recheck: Notify,
-    /// Close the connection once the commands in flight are answered.
+    /// Close the connection once the commands in flight are answered; and why.
     pub close_requested: Cell<bool>,
+    close_reason: Cell<Option<CloseReason>>,
     /// Data from the client may be waiting unread, which hides the client's close behind it; and whether
     /// that close was detected nevertheless.
     may_have_unread: Cell<bool>,
@@ -104,6 +117,7 @@
             arrival: Rc::new(arrival),
             recheck,
             close_requested,
+            close_reason: Cell::default(),
             may_have_unread,
             close_detected,
             read_waker: Cell::default(),
@@ -131,19 +145,25 @@
     }
 
     /// Closes the connection once the commands in flight are answered.
-    pub fn request_close(&self) {
+    pub fn request_close(&self, reason: CloseReason) {
+        self.close_reason.set(self.close_reason.get().or(Some(reason)));
         self.close_requested.set(true);
         self.recheck.notify_one();
     }
 
     /// Closes the connection even in the middle of a head, or while it waits for its client to close it.
-    pub fn evict(&self) {
+    pub fn evict(&self, reason: CloseReason) {
         if self.is_lingering.get() {
             self.linger_ended.notify_one();
             return;
         }
         self.is_evicted.set(true);
-        self.request_close();
+        self.request_close(reason);
+    }
+
+    /// Why the node closes the connection; `None` if it does not.
+    pub fn close_reason(&self) -> Option<CloseReason> {
+        self.close_reason.get()
     }
 
     /// Whether no request was received on it, and not even a part of one.
@@ -287,6 +307,6 @@
     if let Some(longest_idle) = idle.min_by_key(close_order) {
         // This resets the idle time, so that the connection is not picked again before it had time to close.
         longest_idle.idle_since.set(Instant::now());
-        longest_idle.evict();
+        longest_idle.evict(CloseReason::MakesRoom);
     }
 }
--- a/crates/node/src/client_service.rs
+++ b/crates/node/src/client_service.rs
@@ -5,6 +5,8 @@
 use crate::client_connections::ClientConnection;
 use crate::launch_types::{OutboundRequest, RequestBody, StreamingBody, TIME_LEFT_HEADER};
 use crate::list::stable_hash;
+use crate::log::{log, ShownId};
+use crate::metrics::{count, Counter};
 use crate::node::Node;
 use crate::reply::{forwarded_headers, rejection, text_reply, Reply};
 use crate::serve::serve;
@@ -54,7 +56,10 @@
         Box::pin(async move {
             let mut reply = match is_unambiguous {
                 true => node.answer(&client, request).await,
-                false => text_reply(StatusCode::BAD_REQUEST, "two lengths"),
+                false => {
+                    count(Counter::RefusedInvalid);
+                    text_reply(StatusCode::BAD_REQUEST, "two lengths")
+                }
             };
             // After a client error the boundaries of what follows on the connection cannot be trusted.
             let is_client_error = reply.status().is_client_error();
@@ -85,30 +90,27 @@
         }
         let mut command = match self.parse_command(request.method(), request.headers()) {
             Ok(command) => command,
-            Err(reason) => return text_reply(StatusCode::BAD_REQUEST, &reason),
+            Err(reason) => {
+                count(Counter::RefusedInvalid);
+                return text_reply(StatusCode::BAD_REQUEST, &reason);
+            }
         };
         let time_left = command.deadline.since(command.arrived_at);
         let (head, body) = request.into_parts();
+        let id = head.headers[CORRELATION_ID_HEADER].clone();
         // During a stop the rest of the body would arrive too late for an answer.
         let stopped = self.lifecycle.wait_until_stopped_for(self.limits.keep_idle_after_stop);
         let body = match self.body_memory.read(body, self.limits.request_bodies, stopped).await {
             Ok(body) => body,
-            Err(ReadError::TooLarge) => return text_reply(StatusCode::PAYLOAD_TOO_LARGE, "body too large"),
-            Err(ReadError::Broken) => return text_reply(StatusCode::BAD_REQUEST, "body broken off"),
-            // No launch was made, so the command certainly has not run.
-            Err(ReadError::BudgetExhausted) => {
-                return text_reply(StatusCode::SERVICE_UNAVAILABLE, "too many bytes held")
-            }
-            Err(ReadError::Abandoned) => return text_reply(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
-            Err(ReadError::TooSlow) => {
-                return text_reply(StatusCode::REQUEST_TIMEOUT, "body not here in time")
-            }
+            Err(error) => return refuse_unread(&id, error),
         };
         // From here on the command is accepted, and its connection is not closed before the answer is
         // written.
         let command_guard = client.begin_command();
         if client.exceeds_command_limit(&self.limits) {
             // No launch was made, so the command certainly has not run.
+            count(Counter::RefusedTooManyCommands);
+            log!("command {}: refused: too many commands", ShownId(&id));
             return text_reply(StatusCode::SERVICE_UNAVAILABLE, "too many commands");
         }
         let ticket = match &self.sites {
@@ -122,7 +124,11 @@
                 {
                     Ok(ticket) => ticket,
                     // No launch was made, so the command certainly has not run.
-                    Err(retry_after) => return rejection(retry_after),
+                    Err(retry_after) => {
+                        count(Counter::RefusedBySite);
+                        log!("command {}: refused by the site failover plan", ShownId(&id));
+                        return rejection(retry_after);
+                    }
                 }
             }
         };
@@ -131,7 +137,6 @@
         command.arrived_at = self.dispatcher.clock.timestamp(client.arrival.earliest_end());
         command.deadline = command.arrived_at + time_left;
         let path = head.uri.path_and_query().cloned().unwrap_or_else(|| PathAndQuery::from_static("/api"));
-        let id = head.headers[CORRELATION_ID_HEADER].clone();
         let (method, headers) = (head.method, forwarded_headers(head.headers));
         let mut _cut_guard = None;
         let body = match body {
@@ -189,6 +194,24 @@
     }
 }
 
+/// The reply to a request whose body was not read to its end. No launch was made, so it certainly has not run.
+fn refuse_unread(id: &HeaderValue, error: ReadError) -> Reply {
+    let (counter, status, text) = match error {
+        ReadError::TooLarge => (Counter::RefusedInvalid, StatusCode::PAYLOAD_TOO_LARGE, "body too large"),
+        ReadError::Broken => (Counter::RefusedInvalid, StatusCode::BAD_REQUEST, "body broken off"),
+        ReadError::BudgetExhausted => {
+            (Counter::RefusedBodyMemory, StatusCode::SERVICE_UNAVAILABLE, "too many bytes held")
+        }
+        ReadError::Abandoned => (Counter::RefusedStopping, StatusCode::SERVICE_UNAVAILABLE, "stopping"),
+        ReadError::TooSlow => {
+            (Counter::RefusedBodySlow, StatusCode::REQUEST_TIMEOUT, "body not here in time")
+        }
+    };
+    count(counter);
+    log!("command {}: refused: {text}", ShownId(id));
+    text_reply(status, text)
+}
+
 /// A hash of the `nameKey` among the command's further facts (`name=value,name=value`). It is the same at
 /// every node for the same key; 0 means that there is no key.
 fn affinity_key(facts: &str) -> u64 {
--- a/crates/node/src/launch.rs
+++ b/crates/node/src/launch.rs
@@ -6,6 +6,7 @@
     BackendAnswer, LaunchControl, LaunchResult, OutboundRequest, RequestBody, TIME_LEFT_HEADER,
 };
 use crate::log::log;
+use crate::metrics::{count, Counter};
 use crate::pool::{Exchange, LeaseError, Pool};
 use crate::probe;
 use crate::reply::forwarded_headers;
@@ -65,6 +66,9 @@
         let launcher = self.clone();
         Box::pin(async move {
             let result = launcher.run(launch).await;
+            if result.outcome == Outcome::NotSent {
+                count(Counter::LaunchesNotSent);
+            }
             if !matches!(result.outcome, Outcome::Finished | Outcome::Full) {
                 let name = launcher.dispatcher.backend_name(result.backend);
                 log!("launch: {name}: {}", outcome_text(result.outcome));
@@ -140,6 +144,7 @@
             match exchange_result {
                 Exchange::Stale(retried_request) => {
                     launch.control.set_may_be_written(false);
+                    count(Counter::StaleConnections);
                     request = retried_request;
                     continue;
                 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,9 +23,11 @@
 mod list_watches;
 mod log;
 mod message_reader;
+mod metrics;
 mod names;
 mod node;
 mod observed_stream;
+mod panic_log;
 mod pool;
 mod probe;
 mod receive_time;
@@ -59,6 +61,7 @@
         println!("{}", protocol_versions());
         return ExitCode::SUCCESS;
     }
+    panic_log::install();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let ended = runtime.map_err(|e| format!("runtime: {e}")).and_then(|runtime| {
         LocalSet::new().block_on(&runtime, async {
@@ -241,5 +244,6 @@
     if let Some(fleet) = fleet {
         fleet.leave();
     }
+    log!("{}: ended: {}", config.name, metrics::summary());
     Ok(())
 }
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -1,9 +1,10 @@
 //! Log lines for operators on standard error, rate-limited for each place in the code. A reader that stops
 //! reading or closes the pipe does not block the node.
 
+use hyper::header::HeaderValue;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::cell::Cell;
-use std::fmt::Arguments;
+use std::fmt::{self, Arguments, Display, Formatter};
 use std::io::{stderr, Write};
 use std::time::{Duration, Instant};
 
@@ -63,6 +64,20 @@
     }
 }
 
+/// The maximum length of a client's id in a line, in bytes.
+const MAX_ID_BYTES: usize = 64;
+
+/// Shows a client's id, which may contain any bytes and be as long as a head.
+pub struct ShownId<'a>(pub &'a HeaderValue);
+
+impl Display for ShownId<'_> {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let bytes = self.0.as_bytes();
+        let shown = &bytes[..bytes.len().min(MAX_ID_BYTES)];
+        write!(f, "{}{}", shown.escape_ascii(), if shown.len() < bytes.len() { "..." } else { "" })
+    }
+}
+
 /// Writes a line without a rate limit, if it can be written without blocking.
 pub fn write_unlimited(text: Arguments<'_>) {
     if can_write() {
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -6,7 +6,8 @@
 use crate::dispatcher::Dispatcher;
 use crate::launch::Launch;
 use crate::launch_types::{BackendAnswer, LaunchControl, LaunchResult, OutboundRequest};
-use crate::log::log;
+use crate::log::{log, ShownId};
+use crate::metrics::{count, Counter};
 use crate::node::Node;
 use crate::reply::{rejection, text_reply, Reply};
 use crate::sites::AdmissionTicket;
@@ -25,6 +26,8 @@
 struct ActiveCommand {
     dispatcher: Rc<Dispatcher>,
     handle: CommandHandle,
+    client_id: HeaderValue,
+    accepted_at: Instant,
     /// Receives the results of the launches.
     results: mpsc::UnboundedReceiver<LaunchResult>,
     /// Indexed by the launch's number.
@@ -38,6 +41,27 @@
 }
 
 impl ActiveCommand {
+    /// Logs an end without a backend's answer, and what had been tried.
+    fn log_end(&self, end: &str) {
+        log!(
+            "command {}: {end} after {} ms and {} launches",
+            ShownId(&self.client_id),
+            self.accepted_at.elapsed().as_millis(),
+            self.controls.len()
+        );
+    }
+
+    /// Logs and counts a command that is turned back or failed.
+    fn record_refusal(&mut self, end: CommandEnd) {
+        let (counter, text) = match end {
+            CommandEnd::Failed => (Counter::CommandsFailed, "failed"),
+            _ => (Counter::CommandsRejected, "turned back"),
+        };
+        count(counter);
+        self.log_end(text);
+        self.record_end(end);
+    }
+
     /// Reports how the command ended to the statistics and the failover plan, once.
     fn record_end(&mut self, end: CommandEnd) {
         let (recorder, ticket) = (&mut self.recorder, self.ticket.take());
@@ -63,7 +87,8 @@
             .iter()
             .for_each(|control| if body_is_incomplete { control.cancel() } else { control.detach() });
         if self.dispatcher.record_client_done(self.handle) {
-            log!("command: the client disconnected before its answer");
+            count(Counter::CommandsAbandoned);
+            self.log_end("the client disconnected before its answer");
         }
         // Results that were not received yet are still reported to the balancer. Launches that end later
         // report their own.
@@ -84,15 +109,20 @@
 ) -> Reply {
     let dispatcher = &node.dispatcher;
     let deadline = command.deadline;
-    let Some((handle, reevaluation_due)) = dispatcher.register(command, client_id) else {
+    let Some((handle, reevaluation_due)) = dispatcher.register(command, client_id.clone()) else {
+        count(Counter::RefusedDuplicateId);
+        log!("command {}: refused: a command with this id is in hand", ShownId(&client_id));
         return text_reply(StatusCode::CONFLICT, "a command with this id is in hand");
     };
+    count(Counter::CommandsAccepted);
     let (end, results) = mpsc::unbounded_channel();
     let recorder = dispatcher.start_recorder(handle);
     let controls = Vec::new();
     let mut active = ActiveCommand {
         dispatcher: dispatcher.clone(),
         handle,
+        client_id,
+        accepted_at: Instant::now(),
         results,
         controls,
         recorder,
@@ -106,6 +136,16 @@
                 let (number, address) = (dispatcher.last_launch_number(handle), dispatcher.address(backend));
                 let control = Rc::<LaunchControl>::default();
                 active.controls.push(control.clone());
+                count(Counter::Launches);
+                if number > 0 {
+                    count(Counter::Relaunches);
+                    log!(
+                        "command {}: launch {number} goes to {} after {} ms",
+                        ShownId(&active.client_id),
+                        dispatcher.backend_name(backend),
+                        active.accepted_at.elapsed().as_millis()
+                    );
+                }
                 let launch = Launch {
                     outbound: outbound.clone(),
                     handle,
@@ -121,11 +161,11 @@
             }
             Decision::Wait => {}
             Decision::Reject(retry_after) => {
-                active.record_end(CommandEnd::Rejected);
+                active.record_refusal(CommandEnd::Rejected);
                 return rejection(retry_after);
             }
             Decision::Fail => {
-                active.record_end(CommandEnd::Failed);
+                active.record_refusal(CommandEnd::Failed);
                 return text_reply(StatusCode::BAD_GATEWAY, "errored");
             }
             Decision::CancelLaunch(launch) => {
@@ -144,6 +184,7 @@
                 let proves_not_run = result.outcome.proves_not_run(dispatcher.full_may_have_run());
                 active.recorder.iter_mut().for_each(|recorder| recorder.record_outcome(proves_not_run));
                 if let Some(answer) = result.answer.take() {
+                    count(Counter::CommandsFinished);
                     active.record_end(CommandEnd::Finished);
                     return answer_client(answer, active);
                 }
@@ -156,7 +197,7 @@
             // During a stop the last byte would arrive too late for an answer. Without it the command cannot
             // have run.
             () = node.lifecycle.wait_until_stopped_for(node.limits.keep_idle_after_stop), if body_is_streaming => {
-                active.record_end(CommandEnd::Rejected);
+                active.record_refusal(CommandEnd::Rejected);
                 return rejection(Micros(0));
             }
             // Even an answer that a backend sends now would not reach the client before the process is
