Ignore ages of received data that no client can have waited for

Cause: time_since_last_data trusted the kernel's field; some kernels leave it unset or count from the machine's start. Ages over ten minutes, longer than any client waits, now count as not told, and no subtraction of an age can fail. an_impossible_age_of_the_newest_data_ends_no_process failed before and passes; system_calls and waiting pass whole.

--- a/crates/node/src/receive_time.rs
+++ b/crates/node/src/receive_time.rs
@@ -8,10 +8,15 @@
 use std::os::fd::AsFd;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// The resolution of the kernel's times of arrival: one tick of its clock at 100 ticks a second.
 const KERNEL_TICK: Duration = Duration::from_millis(10);
 
+/// No client waits this long, so an age above it says nothing of a request: some kernels leave the field unset, or
+/// count from the start of the machine.
+const MAX_PLAUSIBLE_AGE: Duration = Duration::from_secs(600);
+
 /// Where the kernel's record of a TCP connection states how many milliseconds ago the newest data came.
 const LAST_DATA_OFFSET: usize = offset_of!(libc::tcp_info, tcpi_last_data_recv);
 
@@ -35,12 +40,22 @@
 }
 
 /// For how long at least the newest data of a connection has been here, or the connection if no data has
-/// come yet. Zero if the kernel does not tell.
+/// come yet. Zero if the kernel does not tell, or tells what cannot be.
 pub fn time_since_last_data(socket: impl AsFd) -> Duration {
     let Some(info) = tcp_info(&socket) else { return Duration::ZERO };
     let (_, field) = info.split_at(LAST_DATA_OFFSET);
     let millis = field.try_into().map(u32::from_ne_bytes).unwrap_or_default();
-    Duration::from_millis(millis.into()).saturating_sub(KERNEL_TICK)
+    let age = Duration::from_millis(millis.into());
+    if age > MAX_PLAUSIBLE_AGE {
+        return Duration::ZERO;
+    }
+    age.saturating_sub(KERNEL_TICK)
+}
+
+/// When the newest data of a connection came, at the latest.
+pub fn last_data_at(socket: impl AsFd) -> Instant {
+    let now = Instant::now();
+    now.checked_sub(time_since_last_data(socket)).unwrap_or(now)
 }
 
 /// The kernel's record; `None` if the kernel has none or returns less than was asked for.
--- a/crates/node/src/request_arrival.rs
+++ b/crates/node/src/request_arrival.rs
@@ -2,7 +2,7 @@
 //! for long before the node reads them, and on the client's side for as long as the node does not read, so this
 //! is a lower bound: no request is taken to be younger than it is.
 
-use crate::receive_time::time_since_last_data;
+use crate::receive_time::last_data_at;
 use rustix::io::ioctl_fionread;
 use std::cell::Cell;
 use std::rc::Weak;
@@ -129,7 +129,7 @@
             }
             self.earliest_end.set(Instant::now());
         } else if let Some(socket) = self.socket.upgrade() {
-            self.earliest_end.set(Instant::now() - time_since_last_data(&*socket));
+            self.earliest_end.set(last_data_at(&*socket));
         }
         false
     }
--- a/crates/node/src/request_framing.rs
+++ b/crates/node/src/request_framing.rs
@@ -9,7 +9,7 @@
 
 use crate::client_connections::ClientConnection;
 use crate::observed_stream::StreamObserver;
-use crate::receive_time::time_since_last_data;
+use crate::receive_time::last_data_at;
 use crate::request_arrival::ReceivedPart;
 use crate::transport::Transport;
 use std::future::Future;
@@ -221,7 +221,7 @@
         self.client.set_may_have_unread(read.is_ready());
         match read {
             Poll::Pending => self.client.arrival.record_empty_queue(),
-            Poll::Ready(_) => self.arrived_at = Instant::now() - time_since_last_data(stream.tcp()),
+            Poll::Ready(_) => self.arrived_at = last_data_at(stream.tcp()),
         }
         read
     }
