Keep the failure of one task from ending the process or passing unnoticed

In the incident one wrong assertion about one connection ended every process: it stood in the accept loop, which is the main task. Now the accept loop is a task of its own, whose failure stops the node as SIGTERM does (what was taken is answered, exit code 1); so do the tasks for the list, timers, actions, pool and reload, which ended unnoticed before.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -11,6 +11,7 @@
 use crate::receive_time::time_since_last_data;
 use crate::request_arrival::RequestArrival;
 use crate::request_framing::RequestObserver;
+use crate::tasks::spawn_essential;
 use crate::transport::Transport;
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -23,7 +24,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::task::yield_now;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 /// Binds and listens. With `shared`, several processes of the same user may listen on the address
@@ -65,10 +66,20 @@
     }
 }
 
-/// Accepts connections until the node stops and all accepted commands are answered.
+/// Accepts connections until the node stops and all accepted commands are answered. If accepting fails, the node
+/// stops.
 pub async fn accept_connections(listener: Rc<TcpListener>, node: Rc<Node>) {
     let clients = Rc::new(ClientConnections::default());
-    tokio::task::spawn_local(close_idle_while_draining(clients.clone(), node.clone()));
+    spawn_essential("draining", &node.lifecycle, close_idle_while_draining(clients.clone(), node.clone()));
+    let accepting = spawn_local(accept_until_stopped(listener, clients.clone(), node.clone()));
+    if accepting.await.is_err() {
+        node.lifecycle.stop_after_failure("accept");
+    }
+    wait_until_answered(&clients, &node).await;
+}
+
+/// Accepts connections until the node stops, and then those that the kernel has already.
+async fn accept_until_stopped(listener: Rc<TcpListener>, clients: Rc<ClientConnections>, node: Rc<Node>) {
     let mut stop_accepting = pin!(node.lifecycle.wait_until_stopped_for(node.limits.accept_after_stop));
     let mut failures = AcceptFailures::default();
     loop {
@@ -120,7 +131,10 @@
             Err(_) => break,
         }
     }
-    drop(listener);
+}
+
+/// Closes the connections of a node that stops, and waits until no answer is owed or the time is over.
+async fn wait_until_answered(clients: &ClientConnections, node: &Node) {
     node.lifecycle.wait_until_stopped_for(node.limits.keep_idle_after_stop).await;
     for (_, client) in clients.open.borrow().iter() {
         client.request_close(CloseReason::Stopping);
@@ -191,6 +205,35 @@
     });
 }
 
+/// A connection's place among the open ones, which ends with the task that serves it, however that ends.
+struct ConnectionPlace {
+    key: usize,
+    client: Rc<ClientConnection>,
+    clients: Rc<ClientConnections>,
+    node: Rc<Node>,
+}
+
+impl ConnectionPlace {
+    fn take(
+        client: Rc<ClientConnection>,
+        clients: &Rc<ClientConnections>,
+        node: &Rc<Node>,
+    ) -> ConnectionPlace {
+        let key = clients.open.borrow_mut().insert(client.clone());
+        node.limits.sockets.clients.set(clients.open.borrow().len());
+        ConnectionPlace { key, client, clients: clients.clone(), node: node.clone() }
+    }
+}
+
+impl Drop for ConnectionPlace {
+    fn drop(&mut self) {
+        count_close(&self.client);
+        self.clients.open.borrow_mut().remove(self.key);
+        self.node.limits.sockets.clients.set(self.clients.open.borrow().len());
+        self.clients.connection_closed.notify_one();
+    }
+}
+
 fn start_connection(stream: TcpStream, clients: &Rc<ClientConnections>, node: &Rc<Node>) {
     count(Counter::ConnectionsAccepted);
     log_accept_delay(time_since_last_data(&stream), clients);
@@ -208,15 +251,11 @@
         counts.count_connection(node.dispatcher.clock.now());
     }
     let client = Rc::new(ClientConnection::new(clients.clone(), RequestArrival::new(stream.observe())));
-    let connection_key = clients.open.borrow_mut().insert(client.clone());
-    limits.sockets.clients.set(clients.open.borrow().len());
-    let (clients, node) = (clients.clone(), node.clone());
-    tokio::task::spawn_local(async move {
-        serve_connection(stream, client.clone(), &node).await;
-        count_close(&client);
-        clients.open.borrow_mut().remove(connection_key);
-        node.limits.sockets.clients.set(clients.open.borrow().len());
-        clients.connection_closed.notify_one();
+    let place = ConnectionPlace::take(client.clone(), clients, node);
+    let node = node.clone();
+    spawn_local(async move {
+        serve_connection(stream, client, &node).await;
+        drop(place);
     });
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -39,11 +39,13 @@
 mod signals;
 mod site_evidence;
 mod sites;
+mod tasks;
 mod transport;
 mod trial;
 
 use crate::dispatcher::{Clock, Dispatcher};
 use crate::log::log;
+use crate::tasks::spawn_essential;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -183,7 +185,7 @@
         };
         spawn_local(Rc::new(admin).run(listener));
     }
-    spawn_local(reload.run(trial_actions));
+    spawn_essential("reload", &lifecycle, reload.run(trial_actions));
     let (list_requests, list_request_receiver) = mpsc::unbounded_channel();
     if !list_is_requested {
         // Where the list is pushed, the node still opens a watch, at once.
@@ -191,11 +193,11 @@
     }
     let watches =
         list_watches::Watches::new(list_updater, dispatcher.clone(), limits.clone(), config.discovery);
-    spawn_local(watches.run(list_request_receiver, discovery));
+    spawn_essential("list", &lifecycle, watches.run(list_request_receiver, discovery));
 
     let prober = probe::Prober { dispatcher: dispatcher.clone(), pool: pool.clone(), limits: limits.clone() };
     let (idle_connections, timers) = (pool.clone(), dispatcher.clone());
-    spawn_local(async move {
+    spawn_essential("actions", &lifecycle, async move {
         while let Some(action) = actions.recv().await {
             match action {
                 Action::Probe(backend) => drop(spawn_local(prober.clone().probe(backend))),
@@ -206,16 +208,18 @@
             }
         }
     });
-    spawn_local(async move { timers.run_timers().await });
+    spawn_essential("timers", &lifecycle, async move { timers.run_timers().await });
     let (swept_pool, addresses, interval) = (pool.clone(), dispatcher.clone(), limits.sweep_interval);
-    spawn_local(async move {
+    spawn_essential("pool", &lifecycle, async move {
         loop {
             tokio::time::sleep(interval).await;
             swept_pool.sweep(|backend| addresses.address(backend));
         }
     });
     let stop_waiter = lifecycle.clone();
-    spawn_local(async move { stop_waiter.wait_for_stop_signal(signals.stop).await });
+    spawn_essential("stop", &lifecycle, async move {
+        stop_waiter.wait_for_stop_signal(signals.stop).await;
+    });
 
     let launcher = launch::Launcher {
         pool,
@@ -224,10 +228,10 @@
     };
     peer.take_over(old_process).await;
     if let Some(fleet) = &fleet {
-        spawn_local(fleet.clone().run());
+        spawn_essential("fleet", &lifecycle, fleet.clone().run());
     }
     if let Some(sites) = &sites {
-        spawn_local(sites.clone().run());
+        spawn_essential("sites", &lifecycle, sites.clone().run());
     }
     log!("{}: listening on {}", config.name, config.listen);
     if list_is_requested {
@@ -238,12 +242,22 @@
     }
     accept::accept_connections(
         listener,
-        Rc::new(node::Node { dispatcher, launcher, limits, body_memory, lifecycle, sites }),
+        Rc::new(node::Node {
+            dispatcher,
+            launcher,
+            limits,
+            body_memory,
+            lifecycle: lifecycle.clone(),
+            sites,
+        }),
     )
     .await;
     if let Some(fleet) = fleet {
         fleet.leave();
     }
     log!("{}: ended: {}", config.name, metrics::summary());
-    Ok(())
+    match lifecycle.failed_task() {
+        None => Ok(()),
+        Some(task) => Err(format!("{task} has failed")),
+    }
 }
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -2,6 +2,7 @@
 //! operators' request until they revoke it, and the takeover by a new process.
 
 use crate::log::log;
+use std::cell::Cell;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, Instant};
@@ -14,12 +15,15 @@
     draining_since: watch::Sender<Option<Instant>>,
     /// Whether a new process has taken over the connections.
     has_successor: watch::Sender<bool>,
+    /// The task whose failure has stopped the node.
+    failed_task: Cell<Option<&'static str>>,
 }
 
 impl Lifecycle {
     pub fn new() -> Lifecycle {
         let (stopped_at, draining_since) = (watch::Sender::new(None), watch::Sender::new(None));
-        Lifecycle { stopped_at, draining_since, has_successor: watch::Sender::new(false) }
+        let (has_successor, failed_task) = (watch::Sender::new(false), Cell::new(None));
+        Lifecycle { stopped_at, draining_since, has_successor, failed_task }
     }
 
     /// Waits for the signal to stop.
@@ -28,7 +32,28 @@
             return;
         }
         log!("stop: finishing the commands in flight");
-        self.stopped_at.send_replace(Some(Instant::now()));
+        self.begin_stop();
+    }
+
+    /// Begins a stop, unless one has begun already.
+    fn begin_stop(&self) {
+        self.stopped_at.send_if_modified(|stopped_at| {
+            let begins = stopped_at.is_none();
+            *stopped_at = stopped_at.or_else(|| Some(Instant::now()));
+            begins
+        });
+    }
+
+    /// Stops the node because one of its tasks has failed.
+    pub fn stop_after_failure(&self, task: &'static str) {
+        log!("stop: {task} has failed; finishing the commands in flight");
+        self.failed_task.set(self.failed_task.get().or(Some(task)));
+        self.begin_stop();
+    }
+
+    /// The task whose failure has stopped the node, if that was the reason.
+    pub fn failed_task(&self) -> Option<&'static str> {
+        self.failed_task.get()
     }
 
     pub fn is_stopping(&self) -> bool {
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -15,11 +15,12 @@
 use hyper::{Response, StatusCode};
 use std::rc::Rc;
 use tokio::sync::mpsc;
+use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
 use tower::ServiceExt;
 use yarrowfront::command::{Command, Outcome};
 use yarrowfront::decide::Decision;
-use yarrowfront::ids::CommandHandle;
+use yarrowfront::ids::{BackendId, CommandHandle};
 use yarrowfront::times::Micros;
 
 /// A command in flight. It is dropped when the command has its answer, or earlier if the client disconnects.
@@ -86,16 +87,39 @@
         self.controls
             .iter()
             .for_each(|control| if body_is_incomplete { control.cancel() } else { control.detach() });
-        if self.dispatcher.record_client_done(self.handle) {
+        let closed = mpsc::unbounded_channel().1;
+        let end = CommandClosing {
+            dispatcher: self.dispatcher.clone(),
+            handle: self.handle,
+            results: std::mem::replace(&mut self.results, closed),
+        };
+        if std::thread::panicking() {
+            // A second panic while the first one unwinds would end the process.
+            drop(spawn_local(async move { end.close() }));
+        } else if end.close() {
             count(Counter::CommandsAbandoned);
             self.log_end("the client disconnected before its answer");
         }
-        // Results that were not received yet are still reported to the balancer. Launches that end later
-        // report their own.
+    }
+}
+
+/// What is left to do when nobody waits for a command any more.
+struct CommandClosing {
+    dispatcher: Rc<Dispatcher>,
+    handle: CommandHandle,
+    results: mpsc::UnboundedReceiver<LaunchResult>,
+}
+
+impl CommandClosing {
+    /// Tells the balancer that the client is done; true if it had no answer. Results that were not received yet are
+    /// still reported. Launches that end later report their own.
+    fn close(mut self) -> bool {
+        let had_no_answer = self.dispatcher.record_client_done(self.handle);
         self.results.close();
         while let Ok(result) = self.results.try_recv() {
             self.dispatcher.record_launch_result(self.handle, &result, false);
         }
+        had_no_answer
     }
 }
 
@@ -214,7 +238,10 @@
     let (launcher, dispatcher) = (node.launcher.clone(), node.dispatcher.clone());
     let (handle, number, backend) = (launch.handle, launch.number, launch.backend);
     let control = launch.control.clone();
-    tokio::task::spawn_local(async move {
+    spawn_local(async move {
+        let reporter =
+            LaunchReporter { results, dispatcher, handle, number, backend, control, is_done: false };
+        let control = reporter.control.clone();
         let result = tokio::select! {
             biased;
             Ok(result) = launcher.oneshot(launch) => result,
@@ -224,12 +251,45 @@
                 LaunchResult::without_answer(number, backend, outcome)
             }
         };
-        if let Err(unreceived) = results.send(result) {
-            dispatcher.record_launch_result(handle, &unreceived.0, false);
-        }
+        reporter.report(result);
     });
 }
 
+/// Reports the result of a launch once, even if its task fails.
+struct LaunchReporter {
+    results: mpsc::UnboundedSender<LaunchResult>,
+    dispatcher: Rc<Dispatcher>,
+    handle: CommandHandle,
+    number: u8,
+    backend: BackendId,
+    control: Rc<LaunchControl>,
+    is_done: bool,
+}
+
+impl LaunchReporter {
+    fn report(mut self, result: LaunchResult) {
+        self.is_done = true;
+        self.send(result);
+    }
+
+    fn send(&self, result: LaunchResult) {
+        // The command is over: the balancer still learns the outcome.
+        if let Err(unreceived) = self.results.send(result) {
+            self.dispatcher.record_launch_result(self.handle, &unreceived.0, false);
+        }
+    }
+}
+
+impl Drop for LaunchReporter {
+    fn drop(&mut self) {
+        if !self.is_done {
+            let outcome =
+                if self.control.may_be_written() { Outcome::ConnectionLost } else { Outcome::NotSent };
+            self.send(LaunchResult::without_answer(self.number, self.backend, outcome));
+        }
+    }
+}
+
 /// Completes once the request body has been passed on, with the time of its last byte.
 async fn wait_body_ended(outbound: &OutboundRequest) -> Instant {
     match outbound.streaming_body() {
