Bound what connections and bodies take by the memory limit, not by descriptors alone

Cause: the number of connections followed from descriptors alone, bodies got half of the memory whatever the connections take, growing buffers were counted by their length and not by what is allocated, and each idle connection made 12 KiB resident by filling its read buffer with zeros and by an array in its task that only a closing connection needs. Over some 75 MB the numbers of connections are as before.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -320,11 +320,15 @@
     }
 }
 
+/// The bytes of unread data that are discarded at once.
+const DISCARDED_AT_ONCE: usize = 4096;
+
 /// Closes the sending side, then reads until the client closes too or the wait is over. If the connection
 /// were closed with unread data, the kernel would reset it and the answer in transit would be lost.
 async fn close_gracefully(mut stream: Transport, max_wait: Duration) {
     let reading = async {
-        let mut discarded = [0; 4096];
+        // On the heap: an array would take its place in the task of every connection from its start.
+        let mut discarded = vec![0; DISCARDED_AT_ONCE];
         if stream.shutdown().await.is_ok() {
             while stream.read(&mut discarded).await.is_ok_and(|n| n > 0) {}
         }
--- a/crates/node/src/bodies.rs
+++ b/crates/node/src/bodies.rs
@@ -46,12 +46,16 @@
     peer_held: Arc<AtomicUsize>,
 }
 
-/// The buffered bytes of one body, counted against the budget.
+/// The buffered bytes of one body, counted against the budget as they are allocated.
 struct BufferedBody {
     bytes: Vec<u8>,
+    counted_bytes: usize,
     memory: BodyMemory,
 }
 
+/// A buffer whose final size is not known grows by this many bytes at a time.
+const GROWTH_BYTES: usize = 16 << 10;
+
 impl AsRef<[u8]> for BufferedBody {
     fn as_ref(&self) -> &[u8] {
         &self.bytes
@@ -60,16 +64,30 @@
 
 impl Drop for BufferedBody {
     fn drop(&mut self) {
-        self.memory.held_bytes.fetch_sub(self.bytes.len(), Relaxed);
+        self.memory.held_bytes.fetch_sub(self.counted_bytes, Relaxed);
     }
 }
 
 impl BufferedBody {
+    /// An empty buffer. The memory for a body of known size is set aside at once, but becomes resident, and is
+    /// counted, only as it is filled.
+    fn with_capacity(bytes: usize, memory: BodyMemory) -> BufferedBody {
+        BufferedBody { bytes: Vec::with_capacity(bytes), counted_bytes: 0, memory }
+    }
+
     fn push(&mut self, data: &[u8]) -> Result<(), ReadError> {
-        if data.len() > self.memory.free_bytes() {
+        let length = self.bytes.len() + data.len();
+        let is_growing = length > self.bytes.capacity();
+        let needed_bytes = if is_growing { length.next_multiple_of(GROWTH_BYTES) } else { length };
+        let added_bytes = needed_bytes.saturating_sub(self.counted_bytes);
+        if added_bytes > self.memory.free_bytes() {
             return Err(ReadError::BudgetExhausted);
         }
-        self.memory.held_bytes.fetch_add(data.len(), Relaxed);
+        self.memory.held_bytes.fetch_add(added_bytes, Relaxed);
+        self.counted_bytes += added_bytes;
+        if is_growing {
+            self.bytes.reserve_exact(needed_bytes - self.bytes.len());
+        }
         self.bytes.extend_from_slice(data);
         Ok(())
     }
@@ -153,10 +171,8 @@
         if !exceeds_window && announced_bytes > self.free_bytes() as u64 {
             return Err(ReadError::BudgetExhausted);
         }
-        let mut buffer = BufferedBody { bytes: Vec::new(), memory: self.clone() };
-        if !exceeds_window {
-            buffer.bytes.reserve_exact(announced_bytes as usize);
-        }
+        let known_bytes = if exceeds_window { 0 } else { announced_bytes as usize };
+        let mut buffer = BufferedBody::with_capacity(known_bytes, self.clone());
         let started = Instant::now();
         let mut stream_at: Option<Instant> = None;
         loop {
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -125,6 +125,12 @@
 const OPERATOR_DESCRIPTORS: usize = 24;
 const _: () = assert!(OWN_DESCRIPTORS + OPERATOR_DESCRIPTORS <= RESERVED_DESCRIPTORS);
 
+/// What a connection takes at most beside the bodies on it, in bytes: its task, and a buffer in each direction.
+const CONNECTION_BYTES: usize = 40 << 10;
+/// What the program, the list of backends and what is learned of them take, in bytes; in a small process at most a
+/// quarter of its memory.
+const PROCESS_BYTES: usize = 8 << 20;
+
 /// The process is killed no sooner than 700 ms after the longest time limit, of which at most this much
 /// counts.
 const MAX_TIME_LIMIT_BEFORE_KILL: Duration = Duration::from_secs(3);
@@ -157,7 +163,17 @@
         }
         let memory_bytes = memory_mb << 20;
         let surplus_client_sockets = sockets / 16;
-        let usable_sockets = sockets.saturating_sub(RESERVED_DESCRIPTORS + surplus_client_sockets).max(8);
+        // Connections take half of the memory at most.
+        let sockets_in_memory = memory_bytes / 2 / CONNECTION_BYTES;
+        let usable_sockets = sockets
+            .saturating_sub(RESERVED_DESCRIPTORS + surplus_client_sockets)
+            .min(sockets_in_memory.saturating_sub(surplus_client_sockets))
+            .max(8);
+        let connection_bytes = (usable_sockets + surplus_client_sockets) * CONNECTION_BYTES;
+        let process_bytes = PROCESS_BYTES.min(memory_bytes / 4);
+        let remaining_bytes = memory_bytes.saturating_sub(connection_bytes + process_bytes);
+        // Allocated memory is never used without gaps.
+        let body_memory_bytes = (remaining_bytes / 4 * 3).clamp(memory_bytes / 8, memory_bytes / 2);
         // A command needs one connection on either side, but clients keep more idle connections than the
         // pool does.
         let max_client_sockets = (usable_sockets * 3 / 5).max(4);
@@ -186,15 +202,14 @@
             client_silence: Duration::from_millis(2500),
             // The kernel buffers some megabytes for a slow reader, so it can take long before it reads on.
             backend_silence: Duration::from_secs(60),
-            // The other half is for the buffers of connections, the list and the program itself.
-            body_memory_bytes: memory_bytes / 2,
+            body_memory_bytes,
             max_message_bytes: 4 << 20,
             max_client_sockets,
             max_backend_sockets: (usable_sockets * 2 / 5).max(4),
             surplus_client_sockets,
             sockets: Sockets::default(),
             // Clients need a third of the descriptors for commands; half as many may be idle.
-            max_kept_client_sockets: sockets / 6,
+            max_kept_client_sockets: (sockets / 6).min(max_client_sockets / 2),
             // Part of the reserved descriptors. A request is answered within a millisecond; the rest of its
             // time a connection is only open.
             max_admin_connections: OPERATOR_DESCRIPTORS,
--- a/crates/node/src/transport.rs
+++ b/crates/node/src/transport.rs
@@ -79,11 +79,9 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         loop {
             ready!(self.0.poll_read_ready(cx))?;
-            match self.0.try_read(buf.initialize_unfilled()) {
-                Ok(count) => {
-                    buf.advance(count);
-                    return Poll::Ready(Ok(()));
-                }
+            // Into the buffer as it is: filling it with zeros first would make the memory of each idle connection resident.
+            match self.0.try_read_buf(buf) {
+                Ok(_) => return Poll::Ready(Ok(())),
                 Err(error) if should_retry(&error) => {}
                 Err(error) => return Poll::Ready(Err(error)),
             }
