Count the time of a request behind another one from when it came, not from the newest data

A backend was told 535 ms for a request that had 180 ms left: it waited behind three others on its connection while a few bytes more came. Cause: request_framing.rs dated what it had read ahead by its last read.

--- a/crates/node/src/held_back.rs
+++ b/crates/node/src/held_back.rs
@@ -4,6 +4,7 @@
 use crate::bodies::{BodyMemory, WindowReservation};
 use bytes::{Buf, BytesMut};
 use std::collections::VecDeque;
+use tokio::time::Instant;
 
 /// The maximum that is read ahead on one connection, in bytes.
 const MAX_BYTES: usize = 3 << 20;
@@ -25,9 +26,20 @@
     }
 }
 
+/// The latest time at which data had come, kept for this many reads; those after them count as one.
+const MAX_ARRIVALS: usize = 256;
+
+/// Bytes that were read at once.
+struct Arrival {
+    bytes: usize,
+    at: Instant,
+}
+
 /// Data that was read ahead on one connection.
 pub struct HeldBack {
     blocks: VecDeque<Block>,
+    /// When the data came, in its order.
+    arrivals: VecDeque<Arrival>,
     memory: BodyMemory,
     /// The size of the one block that needs no reservation.
     small_bytes: usize,
@@ -36,7 +48,7 @@
 impl HeldBack {
     /// Nothing yet; up to `small_bytes` are kept without a reservation.
     pub fn new(memory: BodyMemory, small_bytes: usize) -> HeldBack {
-        HeldBack { blocks: VecDeque::new(), memory, small_bytes }
+        HeldBack { blocks: VecDeque::new(), arrivals: VecDeque::new(), memory, small_bytes }
     }
 
     pub fn is_empty(&self) -> bool {
@@ -48,11 +60,12 @@
         self.blocks.front().map_or(&[], |block| &block.bytes)
     }
 
-    /// Appends data. Whether there is room for it, `make_room` tells; what came along with a request is always kept.
-    pub fn extend(&mut self, data: &[u8]) {
+    /// Appends data that had come by this time. Whether there is room for it, `make_room` tells; what came along with a request is always kept.
+    pub fn extend(&mut self, data: &[u8], arrived_at: Instant) {
         if data.is_empty() {
             return;
         }
+        self.record_arrival(data.len(), arrived_at);
         if self.blocks.is_empty() {
             self.add_small_block();
         }
@@ -62,6 +75,15 @@
         }
     }
 
+    fn record_arrival(&mut self, bytes: usize, at: Instant) {
+        let is_full = self.arrivals.len() >= MAX_ARRIVALS;
+        match self.arrivals.back_mut().filter(|_| is_full) {
+            // Rather too early than too late: no request is taken to be younger than it is.
+            Some(newest) => newest.bytes += bytes,
+            None => self.arrivals.push_back(Arrival { bytes, at }),
+        }
+    }
+
     /// Makes room for this many bytes more, with a further reservation if there is need. False if there is none.
     pub fn make_room(&mut self, bytes: usize) -> bool {
         match self.blocks.back() {
@@ -89,21 +111,40 @@
         true
     }
 
-    /// Removes bytes from the front; no more than `front` has.
-    pub fn consume(&mut self, bytes: usize) {
-        let Some(oldest) = self.blocks.front_mut() else { return };
+    /// Removes bytes from the front, no more than `front` has. Returns when the last of them had come.
+    pub fn consume(&mut self, bytes: usize) -> Option<Instant> {
+        let arrived_at = self.consume_arrivals(bytes);
+        let oldest = self.blocks.front_mut()?;
         oldest.bytes.advance(bytes);
         oldest.max_bytes -= bytes;
         if oldest.bytes.is_empty() {
             self.blocks.pop_front();
         }
+        arrived_at
+    }
+
+    fn consume_arrivals(&mut self, mut bytes: usize) -> Option<Instant> {
+        let mut arrived_at = None;
+        while bytes > 0 {
+            let oldest = self.arrivals.front_mut()?;
+            arrived_at = Some(oldest.at);
+            let consumed = bytes.min(oldest.bytes);
+            oldest.bytes -= consumed;
+            bytes -= consumed;
+            if oldest.bytes == 0 {
+                self.arrivals.pop_front();
+            }
+        }
+        arrived_at
     }
 }
 
 #[cfg(test)]
 mod tests {
-    use super::{HeldBack, BLOCK_BYTES, FREE_PART, MAX_BYTES};
+    use super::{HeldBack, BLOCK_BYTES, FREE_PART, MAX_ARRIVALS, MAX_BYTES};
     use crate::bodies::BodyMemory;
+    use std::time::Duration;
+    use tokio::time::Instant;
 
     const READ_BYTES: usize = 500;
 
@@ -114,10 +155,10 @@
         for budget in [FREE_PART * BLOCK_BYTES * 4, FREE_PART * MAX_BYTES * 2] {
             let memory = BodyMemory::new(budget);
             let mut held_back = HeldBack::new(memory.clone(), 1000);
-            let mut sent = Vec::new();
+            let (mut sent, start) = (Vec::new(), Instant::now());
             while held_back.make_room(READ_BYTES) {
                 let data = [(sent.len() / READ_BYTES) as u8; READ_BYTES];
-                held_back.extend(&data);
+                held_back.extend(&data, start + Duration::from_millis(sent.len() as u64));
                 sent.extend_from_slice(&data);
             }
             let held_bytes = memory.held_bytes();
@@ -127,7 +168,10 @@
                 let part = &held_back.front()[..held_back.front().len().min(333)];
                 received.extend_from_slice(part);
                 let count = part.len();
-                held_back.consume(count);
+                let arrived_at = held_back.consume(count).expect("a time");
+                // The time of the read that had the last byte, or of the last one that is kept apart.
+                let read = ((received.len() - 1) / READ_BYTES).min(MAX_ARRIVALS - 1);
+                assert_eq!(arrived_at, start + Duration::from_millis((read * READ_BYTES) as u64));
             }
             assert!(received == sent && held_back.front().is_empty());
             assert_eq!(memory.held_bytes(), 0);
--- a/crates/node/src/request_framing.rs
+++ b/crates/node/src/request_framing.rs
@@ -227,11 +227,11 @@
         read
     }
 
-    /// Records the part of a request that is passed on to hyper.
-    fn record_part(&self, bytes: usize) {
+    /// Records the part of a request that is passed on to hyper, and had come by this time.
+    fn record_part(&self, bytes: usize, arrived_at: Instant) {
         if bytes > 0 {
             self.client.arrival.record_part(&ReceivedPart {
-                arrived_at: self.arrived_at,
+                arrived_at,
                 bytes,
                 is_last: self.parser.is_at_request_end(),
                 missing_bytes: self.parser.missing_bytes(),
@@ -263,7 +263,7 @@
             if read_buf.filled().is_empty() {
                 return Poll::Ready(Ok(()));
             }
-            self.held_back.extend(read_buf.filled());
+            self.held_back.extend(read_buf.filled(), self.arrived_at);
         }
     }
 }
@@ -282,16 +282,16 @@
         if self.held_back.is_empty() {
             ready!(self.read_more(stream, cx, buf))?;
             let request_bytes = self.parser.parse(&buf.filled()[before..]);
-            self.held_back.extend(&buf.filled()[before + request_bytes..]);
+            self.held_back.extend(&buf.filled()[before + request_bytes..], self.arrived_at);
             buf.set_filled(before + request_bytes);
-            self.record_part(request_bytes);
+            self.record_part(request_bytes, self.arrived_at);
         } else {
             let held_back = self.held_back.front();
             let available = &held_back[..held_back.len().min(buf.remaining())];
             let request_bytes = self.parser.parse(available);
             buf.put_slice(&available[..request_bytes]);
-            self.held_back.consume(request_bytes);
-            self.record_part(request_bytes);
+            let arrived_at = self.held_back.consume(request_bytes).unwrap_or(self.arrived_at);
+            self.record_part(request_bytes, arrived_at);
         }
         self.client.conflicting_head.set(self.parser.conflicting_head);
         self.client.has_partial_request.set(self.parser.has_partial_head() || !self.held_back.is_empty());
--- a/crates/node/tests/waiting.rs
+++ b/crates/node/tests/waiting.rs
@@ -166,6 +166,34 @@
     assert_eq!(fixture.launch_count(), before);
 }
 
+/// Guards against time told twice over: a request that waits behind another one on its connection counts from when it came,
+/// also if more comes behind it meanwhile.
+#[test]
+fn time_behind_another_request_is_not_told_as_left() {
+    const LATER: Duration = Duration::from_millis(120);
+    const SLACK: Duration = Duration::from_millis(150);
+    let fixture = NodeFixture::new(1, |_| BackendAction::SucceedLate, with_limits);
+    // Each takes 150 ms, so the last one waits for 450 ms.
+    let requests = ["first", "second", "third", "fourth"].map(|body| timed_request("read", body));
+    let mut stream = fixture.connect();
+    stream.write_all(requests.concat().as_bytes()).expect("written");
+    for byte in b"GET" {
+        sleep(LATER);
+        stream.write_all(&[*byte]).expect("written");
+    }
+    for number in 0..requests.len() {
+        let status = read_message(&mut stream).unwrap_or_default().status();
+        // The last one may be turned back, as too little of its time is left.
+        assert!(status == 200 || status == 503 && number == 3, "request {number}: {status}");
+    }
+    let launches = fixture.launches.lock().expect("launches");
+    for (waited_for, (_, launch)) in [0, 150, 300, 450].into_iter().zip(launches.iter()) {
+        let told = told_time_left(launch);
+        let left = TIME_LEFT - Duration::from_millis(waited_for);
+        assert!(told <= left + SLACK, "after {waited_for} ms: told {told:?}");
+    }
+}
+
 const MIB: usize = 1 << 20;
 
 /// How a backend reads a request; it never answers one.
