Refuse an id that may have run, also after its client has left and at the other process

Cause: an id was free as soon as nothing of it was out, and the processes told each other only of ids in flight, every 50 ms. Builds that do not know these messages are spoken to as before. an_id_that_may_have_run_does_not_run_again and an_id_that_may_have_run_in_one_process_does_not_run_in_the_other failed before (200 for 409) and pass in 3 of 3. an_id_in_progress_is_launched_once asserted that the id of an answered once-only command runs again, which is the fault; it now asserts that it does not, that another id does and that a repeatable one may. endings, sockets, upgrade pass three times, bodies, forms, list_calls, operators, sites once; trial and fleet not run.

--- a/crates/node/src/dispatcher.rs
+++ b/crates/node/src/dispatcher.rs
@@ -2,6 +2,7 @@
 //! balancer; the actions that it requests in return are sent to a queue. No borrow of the inner state lasts
 //! longer than one call, so none is held across an await.
 
+use crate::command_ids::{CommandIds, IdHash, MIN_RETENTION};
 use crate::counts::{CommandRecorder, Counts};
 use crate::launch_types::LaunchResult;
 use crate::names::Names;
@@ -16,10 +17,10 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, Notify};
 use tokio::time::Instant;
-use yarrowfront::command::{Command, Outcome};
+use yarrowfront::command::{Command, LaunchState, Outcome};
 use yarrowfront::decide::{Action, Balancer, Decision, ListEntry, ListUpdateKind};
 use yarrowfront::ids::{BackendId, CommandHandle, CommandId};
-use yarrowfront::settings::Settings;
+use yarrowfront::settings::{Idempotency, Profile, Settings};
 use yarrowfront::times::{Micros, Timestamp};
 
 /// The Unix time at process start plus the monotonic time since then: start times in the list are Unix times
@@ -69,6 +70,8 @@
     command: Command,
     /// The client's id for the command (`x-correlation-id`).
     client_id: HeaderValue,
+    /// The hash of that id, if the command must not run twice.
+    once_id: Option<IdHash>,
     /// Notified when the balancer wants `decide` to be called again for this command.
     reevaluation_due: Rc<Notify>,
     /// The client has its answer or has disconnected; the command stays only until its remaining launches
@@ -82,6 +85,8 @@
     commands_in_flight: Slab<CommandInFlight>,
     /// The clients' ids of all commands in flight.
     command_ids: HashSet<HeaderValue>,
+    /// The ids of commands that may have run and must not run again, of this process and of the other one.
+    ids_run: CommandIds,
     backend_ids: HashMap<String, BackendId>,
     /// Indexed by `BackendId`. A backend that is gone keeps its id and has no address.
     addresses: Vec<Option<SocketAddr>>,
@@ -146,6 +151,7 @@
             names,
             commands_in_flight,
             command_ids,
+            ids_run: CommandIds::default(),
             backend_ids,
             addresses,
             accepted_commands,
@@ -213,8 +219,8 @@
         }
     }
 
-    /// Registers a command and returns its handle; `None` if a command with the same client id is in flight,
-    /// since a second one would run the command twice.
+    /// Registers a command and returns its handle; `None` if a command with the same client id is in flight, or
+    /// may have run and must not run twice.
     pub fn register(
         &self,
         mut command: Command,
@@ -224,21 +230,56 @@
             return None;
         }
         let inner = &mut *self.inner.borrow_mut();
-        if !inner.command_ids.insert(client_id.clone()) {
+        let once_id =
+            inner.retention_of(&command).map(|retention| (IdHash::of(client_id.as_bytes()), retention));
+        if once_id.is_some_and(|(id, _)| inner.ids_run.is_taken(id))
+            || !inner.command_ids.insert(client_id.clone())
+        {
             return None;
         }
+        if let Some((id, retention)) = once_id {
+            inner.ids_run.take(id, retention);
+        }
         inner.accepted_commands = inner.accepted_commands.wrapping_add(1);
         command.id = CommandId(inner.accepted_commands);
         let reevaluation_due = Rc::new(Notify::new());
         let index = inner.commands_in_flight.insert(CommandInFlight {
             command,
             client_id,
+            once_id: once_id.map(|(id, _)| id),
             reevaluation_due: reevaluation_due.clone(),
             client_done: false,
         });
         Some((CommandHandle(index as u32), reevaluation_due))
     }
 
+    /// The hash of the command's id, if the command must not run twice.
+    pub fn once_id(&self, handle: CommandHandle) -> Option<IdHash> {
+        self.inner.borrow().commands_in_flight[handle.0 as usize].once_id
+    }
+
+    /// Takes an id for the other process of this node. False if it is taken already.
+    pub fn take_for_peer(&self, id: IdHash) -> bool {
+        let inner = &mut *self.inner.borrow_mut();
+        let is_free = !inner.ids_run.is_taken(id);
+        if is_free {
+            inner.ids_run.take(id, inner.longest_retention());
+        }
+        is_free
+    }
+
+    /// Takes ids that the other process of this node has run.
+    pub fn take_all_for_peer(&self, ids: &[IdHash]) {
+        for id in ids {
+            self.take_for_peer(*id);
+        }
+    }
+
+    /// The ids of commands that may have run and must not run again, for the other process of this node.
+    pub fn ids_run(&self) -> Vec<IdHash> {
+        self.inner.borrow().ids_run.all()
+    }
+
     /// Asks the balancer what to do with a command now.
     pub fn decide(&self, handle: CommandHandle) -> Decision {
         self.with_balancer(|inner, now| {
@@ -591,6 +632,12 @@
     }
 }
 
+/// How long the id of a command of this profile is kept.
+fn retention(profile: &Profile) -> Duration {
+    let micros = profile.time_limit.max(profile.dedup_window).0;
+    Duration::from_micros(micros).max(MIN_RETENTION)
+}
+
 /// The time at which the backend started according to its list entry, in milliseconds of Unix time.
 fn started_ms(entry: &Value) -> u64 {
     entry.get("since_ms").and_then(Value::as_f64).unwrap_or(0.0) as u64
@@ -604,11 +651,26 @@
 }
 
 impl Inner {
+    /// How long the id of this command is kept after it was accepted; `None` if the command may run again.
+    fn retention_of(&self, command: &Command) -> Option<Duration> {
+        let (_, profile) = self.names.definition(command.profile)?;
+        (profile.idempotency != Idempotency::Repeatable).then(|| retention(profile))
+    }
+
+    /// The longest time for which the id of any command is kept.
+    fn longest_retention(&self) -> Duration {
+        self.names.all_profiles().map(retention).max().unwrap_or(MIN_RETENTION)
+    }
+
     fn remove_if_done(&mut self, index: usize) {
         let entry = &self.commands_in_flight[index];
         if entry.client_done && entry.command.in_flight_count() == 0 {
             let entry = self.commands_in_flight.remove(index);
             self.command_ids.remove(&entry.client_id);
+            let has_not_run = entry.command.launches().all(|launch| launch.state == LaunchState::NotRun);
+            if let Some(id) = entry.once_id.filter(|_| has_not_run) {
+                self.ids_run.release(id);
+            }
         }
     }
 }
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -5,6 +5,7 @@
 
 use crate::admin_request::AdminRequest;
 use crate::bodies::BodyMemory;
+use crate::command_ids::IdHash;
 use crate::dispatcher::Dispatcher;
 use crate::lifecycle::Lifecycle;
 use crate::limits::Limits;
@@ -41,6 +42,9 @@
 enum Message {
     Hello {
         version: u32,
+        /// The sender knows the messages about ids.
+        #[serde(default, rename = "ids")]
+        knows_ids: bool,
     },
     /// There are two processes already, or the node is stopping.
     #[serde(rename = "no")]
@@ -60,6 +64,20 @@
     /// The request was carried out.
     #[serde(rename = "done")]
     Confirmed,
+    /// From the old process, before anything else: the ids of its commands that must not run again.
+    #[serde(rename = "ran")]
+    IdsRun {
+        ids: Vec<IdHash>,
+    },
+    /// The sender has accepted a command with this id, which must not run twice, and asks whether it may launch it.
+    Claim {
+        id: IdHash,
+    },
+    /// The answer to the oldest claim that was not answered yet.
+    #[serde(rename = "claimed")]
+    ClaimResult {
+        granted: bool,
+    },
     /// What the sender uses of the shared budgets.
     #[serde(rename = "held")]
     Usage {
@@ -84,6 +102,9 @@
     /// The generation in the fleet view, if there is one: the new process takes a later one.
     #[serde(default, rename = "life")]
     pub generation: u64,
+    /// The sender knows the messages about ids.
+    #[serde(default, rename = "ids")]
+    pub knows_ids: bool,
 }
 
 /// What the old process has passed to this one.
@@ -120,7 +141,7 @@
 fn receive_state(stream: &StdUnixStream, limits: &Limits) -> io::Result<HandoverReply> {
     stream.set_read_timeout(Some(limits.peer_timeout))?;
     stream.set_write_timeout(Some(limits.peer_timeout))?;
-    (&*stream).write_all(&encode_line(&Message::Hello { version: VERSION })?)?;
+    (&*stream).write_all(&encode_line(&Message::Hello { version: VERSION, knows_ids: true })?)?;
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
     let mut ancillary = RecvAncillaryBuffer::new(&mut space);
     let mut first = [0];
@@ -156,6 +177,11 @@
     outgoing: mpsc::UnboundedSender<Message>,
     /// The requests that wait for the other process's confirmation, oldest first.
     unconfirmed: RefCell<VecDeque<oneshot::Sender<()>>>,
+    /// The claims that the other process has not answered yet, oldest first.
+    open_claims: RefCell<VecDeque<oneshot::Sender<bool>>>,
+    role: Role,
+    /// The other process knows the messages about ids.
+    peer_knows_ids: bool,
 }
 
 impl Link {
@@ -166,6 +192,20 @@
         self.outgoing.send(message).is_ok() && matches!(timeout(wait, answer).await, Ok(Ok(())))
     }
 
+    /// Sends a claim. Its result comes through the returned channel.
+    fn send_claim(&self, id: IdHash) -> oneshot::Receiver<bool> {
+        let (result, receiver) = oneshot::channel();
+        self.open_claims.borrow_mut().push_back(result);
+        let _ = self.outgoing.send(Message::Claim { id });
+        receiver
+    }
+
+    fn end_oldest_claim(&self, granted: bool) {
+        if let Some(result) = self.open_claims.borrow_mut().pop_front() {
+            let _ = result.send(granted);
+        }
+    }
+
     fn confirm_oldest(&self) {
         if let Some(done) = self.unconfirmed.borrow_mut().pop_front() {
             let _ = done.send(());
@@ -238,19 +278,15 @@
 
     /// Tells the old process, if there is one, to stop accepting connections. Then this process is ready and
     /// may itself be succeeded.
-    pub async fn take_over(self: &Rc<Peer>, old: Option<StdUnixStream>) {
-        if let Some(stream) = old {
+    pub async fn take_over(self: &Rc<Peer>, old: Option<(StdUnixStream, bool)>) {
+        if let Some((stream, old_knows_ids)) = old {
             let stream = stream.set_nonblocking(true).and_then(|()| UnixStream::from_std(stream));
             match stream {
                 Ok(stream) => {
                     let (read, write) = stream.into_split();
-                    let link = self.open_link(write);
+                    let link = self.open_link(write, Role::New, old_knows_ids);
                     self.dispatcher.set_predecessor_running(true);
-                    tokio::task::spawn_local(self.clone().run_link(
-                        Reader::new(read),
-                        link.clone(),
-                        Role::New,
-                    ));
+                    tokio::task::spawn_local(self.clone().run_link(Reader::new(read), link.clone()));
                     if !link.send_and_wait(Message::Ready, self.limits.peer_timeout).await {
                         log!("handover: the old process has not confirmed that it stopped accepting");
                     }
@@ -262,6 +298,25 @@
         self.listen_for_successor();
     }
 
+    /// Whether a command that this process has accepted and that must not run twice may be launched here: the other
+    /// process, if there is one, has not run it and will not. A process that does not answer within this time may have.
+    pub async fn claim(&self, id: IdHash, max_wait: Duration) -> bool {
+        let link = self.link.borrow().clone();
+        let Some(link) = link.filter(|link| link.peer_knows_ids) else { return true };
+        let result = link.send_claim(id);
+        if link.role == Role::Old && !self.lifecycle.has_successor() {
+            // The new process reads this before it accepts its first command.
+            return true;
+        }
+        drop(link);
+        match timeout(max_wait.min(self.limits.claim_timeout), result).await {
+            Ok(Ok(granted)) => granted,
+            // The other process has ended.
+            Ok(Err(_)) => true,
+            Err(_) => false,
+        }
+    }
+
     /// Has the other process, if there is one, carry out an operator's request as well.
     pub async fn forward_request(&self, request: &AdminRequest) {
         let link = self.link.borrow().clone();
@@ -311,7 +366,7 @@
         let (read, mut write) = stream.into_split();
         let mut read = Reader::new(read);
         let hello = timeout(self.limits.peer_timeout, self.read_message(&mut read)).await;
-        let Ok(Some(Message::Hello { version: VERSION })) = hello else {
+        let Ok(Some(Message::Hello { version: VERSION, knows_ids })) = hello else {
             log!("handover: a connection was not from a new process of this version");
             return;
         };
@@ -330,8 +385,11 @@
         match sent {
             Ok(()) => {
                 log!("handover: a new process has received this one's state");
-                let link = self.open_link(write);
-                self.run_link(read, link, Role::Old).await;
+                let link = self.open_link(write, Role::Old, knows_ids);
+                if knows_ids {
+                    let _ = link.outgoing.send(Message::IdsRun { ids: self.dispatcher.ids_run() });
+                }
+                self.run_link(read, link).await;
             }
             Err(error) => log!("handover: {error}"),
         }
@@ -348,14 +406,16 @@
             is_draining: self.lifecycle.is_draining(),
             list: self.dispatcher.list_snapshot(),
             generation,
+            knows_ids: true,
         };
         let line = encode_line(&Message::State(state))?;
         timeout(self.limits.peer_timeout, write.write_all(&line)).await?
     }
 
-    fn open_link(self: &Rc<Peer>, mut write: OwnedWriteHalf) -> Rc<Link> {
+    fn open_link(self: &Rc<Peer>, mut write: OwnedWriteHalf, role: Role, peer_knows_ids: bool) -> Rc<Link> {
         let (outgoing, mut messages) = mpsc::unbounded_channel();
-        let link = Rc::new(Link { outgoing, unconfirmed: RefCell::default() });
+        let (unconfirmed, open_claims) = (RefCell::default(), RefCell::default());
+        let link = Rc::new(Link { outgoing, unconfirmed, open_claims, role, peer_knows_ids });
         *self.link.borrow_mut() = Some(link.clone());
         tokio::task::spawn_local(async move {
             while let Some(message) = messages.recv().await {
@@ -381,7 +441,8 @@
     }
 
     /// Exchanges messages with the other process until one of the two ends.
-    async fn run_link(self: Rc<Peer>, mut read: Reader, link: Rc<Link>, role: Role) {
+    async fn run_link(self: Rc<Peer>, mut read: Reader, link: Rc<Link>) {
+        let role = link.role;
         let (incoming, mut messages) = mpsc::unbounded_channel();
         let reader = self.clone();
         let reading = tokio::task::spawn_local(async move {
@@ -412,6 +473,14 @@
                     request.execute(&self.dispatcher, &self.lifecycle);
                     let _ = link.outgoing.send(Message::Confirmed);
                 }
+                Some(Message::IdsRun { ids }) => {
+                    self.dispatcher.take_all_for_peer(&ids);
+                }
+                Some(Message::Claim { id }) => {
+                    let granted = self.dispatcher.take_for_peer(id);
+                    let _ = link.outgoing.send(Message::ClaimResult { granted });
+                }
+                Some(Message::ClaimResult { granted }) => link.end_oldest_claim(granted),
                 Some(Message::StoppedAccepting | Message::Confirmed) => link.confirm_oldest(),
                 Some(Message::Usage { clients, backends, bytes, ids }) => {
                     self.limits.sockets.other_clients.set(clients);
@@ -424,6 +493,7 @@
         }
         reading.abort();
         *self.link.borrow_mut() = None;
+        link.open_claims.borrow_mut().clear();
         self.limits.sockets.other_clients.set(0);
         self.limits.sockets.other_backends.set(0);
         self.body_memory.set_peer_bytes(0);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 mod bodies;
 mod client_connections;
 mod client_service;
+mod command_ids;
 mod config;
 mod counts;
 mod dispatcher;
@@ -136,7 +137,7 @@
             if let Err(reason) = list_updater.apply_message(&state.list, true) {
                 log!("handover: the list could not be used: {reason}");
             }
-            old_process = Some(stream);
+            old_process = Some((stream, state.knows_ids));
             listener.set_nonblocking(true).and_then(|()| tokio::net::TcpListener::from_std(listener))
         }
         None => accept::bind(config.listen, limits.backlog, path.is_some()),
@@ -249,6 +250,7 @@
             limits,
             body_memory,
             lifecycle: lifecycle.clone(),
+            peer,
             sites,
         }),
     )
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -49,6 +49,8 @@
     /// its usage.
     pub peer_timeout: Duration,
     pub peer_report_interval: Duration,
+    /// How long it may take to say whether it has run a command: longer than a process is usually held up.
+    pub claim_timeout: Duration,
     /// How long a connection from an operator may last.
     pub admin_timeout: Duration,
     /// The length of the kernel's queue of connections that wait to be accepted.
@@ -220,6 +222,7 @@
             // An operator must have an answer within a second; half of that is for the other process.
             peer_timeout: Duration::from_millis(600),
             peer_report_interval: Duration::from_millis(50),
+            claim_timeout: Duration::from_millis(250),
             admin_timeout: Duration::from_millis(4000),
             backlog: 1024,
             connect_timeout: Cell::new(connect_timeout),
--- a/crates/node/src/names.rs
+++ b/crates/node/src/names.rs
@@ -44,6 +44,11 @@
         Names { zones, backend_types, profiles, all_profiles, report_fields, revision: 0 }
     }
 
+    /// All profiles since the start.
+    pub fn all_profiles(&self) -> impl Iterator<Item = &Profile> {
+        self.all_profiles.iter().map(|(_, profile)| profile)
+    }
+
     /// Merges the names and settings of a reloaded file, keeping the ids that are assigned already.
     pub fn merged_with(&self, new: &Names, mut settings: Settings) -> Result<(Names, Settings), String> {
         let zones = append_new(&self.zones, &new.zones, 1 << 16, "settings.zones")?;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::bodies::BodyMemory;
 use crate::dispatcher::Dispatcher;
+use crate::handover::Peer;
 use crate::launch::Launcher;
 use crate::lifecycle::Lifecycle;
 use crate::limits::Limits;
@@ -15,5 +16,6 @@
     pub limits: Rc<Limits>,
     pub body_memory: BodyMemory,
     pub lifecycle: Rc<Lifecycle>,
+    pub peer: Rc<Peer>,
     pub sites: Option<Rc<Sites>>,
 }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -135,7 +135,7 @@
     let deadline = command.deadline;
     let Some((handle, reevaluation_due)) = dispatcher.register(command, client_id.clone()) else {
         count(Counter::RefusedDuplicateId);
-        log!("command {}: refused: a command with this id is in hand", ShownId(&client_id));
+        log!("command {}: refused: a command with this id is in hand or may have run", ShownId(&client_id));
         return text_reply(StatusCode::CONFLICT, "a command with this id is in hand");
     };
     count(Counter::CommandsAccepted);
@@ -153,6 +153,12 @@
         ticket,
         _command_guard: command_guard,
     };
+    if let Some(id) = dispatcher.once_id(handle) {
+        let time_left = dispatcher.clock.instant(deadline).saturating_duration_since(Instant::now());
+        if !node.peer.claim(id, time_left).await {
+            return refuse_duplicate(&mut active);
+        }
+    }
     let mut decision = dispatcher.decide(handle);
     loop {
         match decision {
@@ -233,6 +239,15 @@
     }
 }
 
+/// Ends a command that the other process of this node may have run.
+fn refuse_duplicate(active: &mut ActiveCommand) -> Reply {
+    count(Counter::RefusedDuplicateId);
+    active.log_end("refused as the other process may have run it");
+    active.record_end(CommandEnd::Failed);
+    active.dispatcher.reject_or_fail(active.handle);
+    text_reply(StatusCode::CONFLICT, "a command with this id is in hand")
+}
+
 /// Runs a launch in a task of its own: if the client disconnects, the balancer still learns the outcome.
 fn spawn_launch(node: &Node, launch: Launch, results: mpsc::UnboundedSender<LaunchResult>) {
     let (launcher, dispatcher) = (node.launcher.clone(), node.dispatcher.clone());
--- a/crates/node/tests/endings.rs
+++ b/crates/node/tests/endings.rs
@@ -257,6 +257,41 @@
     });
 }
 
+/// Guards against an effect that happens twice because a request with the same id comes again: while the first one is out, after
+/// its client has left and it has run, after it was answered. The failure: an id was free as soon as nothing of it was out.
+#[test]
+fn an_id_that_may_have_run_does_not_run_again() {
+    let fixture = NodeFixture::new(2, |_| BackendAction::SucceedLate, |_| {});
+    for profile in ["mark", "pay"] {
+        for client_leaves in [true, false] {
+            let request = command_request(profile, "once", "");
+            let before = fixture.launch_count();
+            let mut stream = fixture.connect();
+            stream.write_all(request.as_bytes()).expect("written");
+            wait_until("the launch", || fixture.launch_count() > before);
+            assert_eq!(fixture.send_request(&request).status(), 409, "{profile}: it is out");
+            if client_leaves {
+                drop(stream);
+                // The backend answers after 150 ms, and then nothing of the command is in hand any more.
+                sleep(Duration::from_millis(400));
+            } else {
+                assert_eq!(read_message(&mut stream).unwrap_or_default().status(), 200, "{profile}");
+            }
+            for _ in 0..3 {
+                assert_eq!(fixture.send_request(&request).status(), 409, "{profile}: it may have run");
+            }
+            assert_eq!(fixture.launch_count(), before + 1, "{profile}, client leaves: {client_leaves}");
+        }
+    }
+    // What can be repeated without harm, or was never written to a backend, may come again.
+    let request = command_request("read", "again", "");
+    assert_eq!(fixture.send_request(&request).status(), 200);
+    assert_eq!(fixture.send_request(&request).status(), 200);
+    let out_of_time = command_request_within("pay", "turned back", 0);
+    assert_eq!(fixture.send_request(&out_of_time).status(), 503);
+    assert_eq!(fixture.send_request(&out_of_time.replace("Ms: 0", "Ms: 450")).status(), 200);
+}
+
 /// A client may close its connection before the node accepts it, with a complete command in the kernel's buffer: nothing of it
 /// is launched. The failure: all of these commands were launched.
 #[test]
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -72,6 +72,47 @@
     assert!(launched.values().all(|times| *times == 1), "{launched:?}");
 }
 
+/// Guards against an effect that happens once in each process of an upgrade. The failure: the new process learned the ids of the
+/// old one every 50 ms, and only of those that were out just then.
+#[test]
+fn an_id_that_may_have_run_in_one_process_does_not_run_in_the_other() {
+    let (mut fixture, _) = NodeFixture::with_admin(4, |_| BackendAction::SucceedLate);
+    // A connection that was used is closed with its next answer, so each serves one command after the handover.
+    let mut kept: Vec<_> = (0..8).map(|_| fixture.connect()).collect();
+    for stream in &mut kept {
+        stream.write_all(UP_REQUEST.as_bytes()).expect("written");
+        assert_eq!(read_message(stream).unwrap_or_default().status(), 200);
+    }
+    let request_before = command_request("pay", "before", "");
+    assert_eq!(fixture.send_request(&request_before).status(), 200);
+    let (new, admin) = start_beside(&fixture);
+    wait_until_ready(admin);
+    assert_eq!(fixture.send_request(&request_before).status(), 409, "it ran before the new process");
+    let mut requests = vec![request_before];
+    for (number, mut stream) in kept.into_iter().enumerate() {
+        let request = command_request("pay", "once", "");
+        let before = fixture.launch_count();
+        stream.write_all(request.as_bytes()).expect("written");
+        wait_until("the launch", || fixture.launch_count() > before);
+        drop(stream);
+        if number % 2 == 0 {
+            // The old process has nothing of it in hand any more.
+            sleep(Duration::from_millis(400));
+        }
+        assert_eq!(fixture.send_request(&request).status(), 409, "command {number}");
+        assert_eq!(fixture.launch_count(), before + 1, "command {number}");
+        requests.push(request);
+    }
+    let mut old = std::mem::replace(&mut fixture.process, new);
+    send_signal(&old, "-TERM");
+    assert!(old.wait().expect("an end").success());
+    let before = fixture.launch_count();
+    for request in &requests {
+        assert_eq!(fixture.send_request(request).status(), 409, "the old process has gone");
+    }
+    assert_eq!(fixture.launch_count(), before);
+}
+
 /// Operators' requests outlive the process, and with two processes a request to either applies to both: a backend in
 /// maintenance stays there, a failed health check stays failed, and the backend list stays as discovery sent it last.
 #[test]
