--- a/crates/node/src/dispatcher.rs
+++ b/crates/node/src/dispatcher.rs
@@ -5,6 +5,7 @@
 use crate::command_ids::{CommandIds, IdHash, MIN_RETENTION};
 use crate::counts::{CommandRecorder, Counts};
 use crate::launch_types::LaunchResult;
+use crate::log::log;
 use crate::names::Names;
 use crate::site_evidence::SiteEvidence;
 use hyper::header::HeaderValue;
@@ -18,7 +19,7 @@
 use tokio::sync::{mpsc, Notify};
 use tokio::time::Instant;
 use yarrowfront::command::{Command, LaunchState, Outcome};
-use yarrowfront::decide::{Action, Balancer, Decision, ListEntry, ListUpdateKind};
+use yarrowfront::decide::{Action, BackendState, Balancer, Decision, ListEntry, ListUpdateKind};
 use yarrowfront::ids::{BackendId, CommandHandle, CommandId};
 use yarrowfront::settings::{Idempotency, Profile, Settings};
 use yarrowfront::times::{Micros, Timestamp};
@@ -90,6 +91,8 @@
     backend_ids: HashMap<String, BackendId>,
     /// Indexed by `BackendId`. A backend that is gone keeps its id and has no address.
     addresses: Vec<Option<SocketAddr>>,
+    /// When each backend started according to its latest entry, indexed in the same way.
+    started_at: Vec<Timestamp>,
     accepted_commands: u32,
     /// A backend that reports itself full may nevertheless have run the command.
     full_may_have_run: bool,
@@ -154,6 +157,7 @@
             ids_run: CommandIds::default(),
             backend_ids,
             addresses,
+            started_at: Vec::new(),
             accepted_commands,
             full_may_have_run,
             max_retry_after,
@@ -521,8 +525,14 @@
             }
             for (entry, address) in entries {
                 inner.addresses[entry.backend.0 as usize] = *address;
+                inner.started_at[entry.backend.0 as usize] = entry.started_at;
             }
-            inner.balancer.apply_list(now, kind, entries.iter().map(|(entry, _)| *entry));
+            let replaced = inner.remove_replaced(entries);
+            if !replaced.is_empty() {
+                log!("list: {} backends left out, as newer ones have their addresses", replaced.len());
+            }
+            let listed = entries.iter().map(|(entry, _)| *entry);
+            inner.balancer.apply_list(now, kind, listed.chain(replaced));
         });
         if !kind.is_failure() {
             self.has_list.set(true);
@@ -549,6 +559,7 @@
         let id = BackendId(inner.addresses.len() as u32);
         inner.backend_ids.insert(name.to_owned(), id);
         inner.addresses.push(None);
+        inner.started_at.push(Timestamp(0));
         id
     }
 
@@ -651,6 +662,29 @@
 }
 
 impl Inner {
+    /// Removes the backends at whose address one of these entries has a process that started later: whatever is sent
+    /// there reaches the new process. Returns entries that say that they are gone.
+    fn remove_replaced(&mut self, entries: &[AddressedEntry]) -> Vec<ListEntry> {
+        let ready = entries.iter().filter(|(entry, _)| entry.state == BackendState::Ready);
+        let latest_start: HashMap<SocketAddr, Timestamp> = ready
+            .filter_map(|(entry, address)| Some(((*address)?, entry.started_at)))
+            .fold(HashMap::new(), |mut latest_start, (address, started_at)| {
+                let latest = latest_start.entry(address).or_insert(started_at);
+                *latest = started_at.max(*latest);
+                latest_start
+            });
+        let mut replaced = Vec::new();
+        for (index, address) in self.addresses.iter_mut().enumerate() {
+            let latest = address.and_then(|address| latest_start.get(&address));
+            if latest.is_some_and(|latest| *latest > self.started_at[index]) {
+                *address = None;
+                let backend = BackendId(index as u32);
+                replaced.push(ListEntry { backend, state: BackendState::Gone, ..ListEntry::default() });
+            }
+        }
+        replaced
+    }
+
     /// How long the id of this command is kept after it was accepted; `None` if the command may run again.
     fn retention_of(&self, command: &Command) -> Option<Duration> {
         let (_, profile) = self.names.definition(command.profile)?;
