Allocate memory for a body as its data comes, so that the budget bounds what is resident

Cause: the whole announced size was set aside at once and only what came was counted; a piece of memory given back half used and taken again became resident to its end, so 245 clients could make 245 whole bodies resident under a budget of 6 MB.

--- a/crates/node/src/bodies.rs
+++ b/crates/node/src/bodies.rs
@@ -50,10 +50,12 @@
 struct BufferedBody {
     bytes: Vec<u8>,
     counted_bytes: usize,
+    /// The size of the whole body; zero if it is not known.
+    expected_bytes: usize,
     memory: BodyMemory,
 }
 
-/// A buffer whose final size is not known grows by this many bytes at a time.
+/// A buffer grows by this many bytes at a time.
 const GROWTH_BYTES: usize = 16 << 10;
 
 impl AsRef<[u8]> for BufferedBody {
@@ -69,26 +71,33 @@
 }
 
 impl BufferedBody {
-    /// An empty buffer. The memory for a body of known size is set aside at once, but becomes resident, and is
-    /// counted, only as it is filled.
-    fn with_capacity(bytes: usize, memory: BodyMemory) -> BufferedBody {
-        BufferedBody { bytes: Vec::with_capacity(bytes), counted_bytes: 0, memory }
+    /// An empty buffer for a body of this size, as far as that is known.
+    fn new(expected_bytes: usize, memory: BodyMemory) -> BufferedBody {
+        BufferedBody { bytes: Vec::new(), counted_bytes: 0, expected_bytes, memory }
     }
 
+    /// Appends data. Memory is allocated only as data comes: what is set aside for data that does not come is not free
+    /// for other bodies.
     fn push(&mut self, data: &[u8]) -> Result<(), ReadError> {
         let length = self.bytes.len() + data.len();
-        let is_growing = length > self.bytes.capacity();
-        let needed_bytes = if is_growing { length.next_multiple_of(GROWTH_BYTES) } else { length };
-        let added_bytes = needed_bytes.saturating_sub(self.counted_bytes);
+        if length > self.counted_bytes {
+            self.grow(length)?;
+        }
+        self.bytes.extend_from_slice(data);
+        Ok(())
+    }
+
+    fn grow(&mut self, length: usize) -> Result<(), ReadError> {
+        let grown_bytes = length.next_multiple_of(GROWTH_BYTES);
+        let needed_bytes =
+            if length <= self.expected_bytes { grown_bytes.min(self.expected_bytes) } else { grown_bytes };
+        let added_bytes = needed_bytes - self.counted_bytes;
         if added_bytes > self.memory.free_bytes() {
             return Err(ReadError::BudgetExhausted);
         }
         self.memory.held_bytes.fetch_add(added_bytes, Relaxed);
-        self.counted_bytes += added_bytes;
-        if is_growing {
-            self.bytes.reserve_exact(needed_bytes - self.bytes.len());
-        }
-        self.bytes.extend_from_slice(data);
+        self.counted_bytes = needed_bytes;
+        self.bytes.reserve_exact(needed_bytes - self.bytes.len());
         Ok(())
     }
 }
@@ -177,7 +186,7 @@
             return Err(ReadError::BudgetExhausted);
         }
         let known_bytes = if exceeds_window { 0 } else { announced_bytes as usize };
-        let mut buffer = BufferedBody::with_capacity(known_bytes, self.clone());
+        let mut buffer = BufferedBody::new(known_bytes, self.clone());
         let started = Instant::now();
         let mut pauses = Pauses::new(started);
         let mut stream_at: Option<Instant> = None;
