Check sending, repeating, closing and starting by one guard that counts violations

A violation is counted by kind and logged; a launch that would be one is not written. Every node test now fails on such a line in the node's log.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -3,6 +3,7 @@
 
 use crate::client_connections::{close_idle, ClientConnection, ClientConnections, CloseReason};
 use crate::client_service::ClientService;
+use crate::guard::{self, Violation};
 use crate::held_back::HeldBack;
 use crate::limits::Limits;
 use crate::log::log;
@@ -11,7 +12,7 @@
 use crate::observed_stream::ObservedStream;
 use crate::receive_time::time_since_last_data;
 use crate::request_arrival::RequestArrival;
-use crate::request_framing::RequestObserver;
+use crate::request_framing::{is_closed_by_peer, RequestObserver};
 use crate::tasks::spawn_essential;
 use crate::transport::Transport;
 use hyper::server::conn::http1;
@@ -158,6 +159,10 @@
         () = all_closed => {}
         () = no_answer_owed => log!("stop: {} connections still open", clients.open.borrow().len()),
     }
+    let unanswered = node.dispatcher.unanswered_count();
+    if unanswered > 0 {
+        guard::report(Violation::EndedUnanswered, &format!("{unanswered} commands"));
+    }
 }
 
 /// While operators have clients drained, closes each connection as soon as nothing is in progress on it.
@@ -267,10 +272,12 @@
     builder.max_buf_size(limits.max_head_bytes);
     let held_back = HeldBack::new(node.body_memory.clone(), limits.max_head_bytes);
     let request_observer = RequestObserver::new(client.clone(), held_back);
+    let socket = stream.observe();
     let observed = ObservedStream { stream, observer: request_observer };
     let service = TowerToHyperService::new(ClientService { node: node.clone(), client: client.clone() });
     let mut connection = builder.serve_connection(TokioIo::new(observed), service);
     let (mut is_closing, mut has_shut_down) = (false, false);
+    let mut is_clients_end = false;
     let is_graceful = loop {
         let idle_deadline = client.idle_deadline(limits).max(Instant::now() + limits.idle_after);
         tokio::select! {
@@ -279,7 +286,11 @@
             biased;
             // When the client closes, the connection ends: the commands in flight are dropped, and the
             // balancer is informed.
-            _ = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break true,
+            ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => {
+                // An error is the client's: a connection that broke, or data that is no request.
+                is_clients_end = ended.is_err();
+                break true;
+            }
             () = ready(()), if is_closing => {
                 Pin::new(&mut connection).graceful_shutdown();
                 (is_closing, has_shut_down) = (false, true);
@@ -292,6 +303,7 @@
             () = client.recheck.notified() => {
                 // The client's close was detected behind data that is not being read at present.
                 if client.close_detected.get() {
+                    is_clients_end = true;
                     break true;
                 }
                 if client.close_requested.take() {
@@ -312,6 +324,10 @@
             }
         }
     };
+    let is_closed_by_client = || socket.upgrade().is_none_or(|socket| is_closed_by_peer(&socket));
+    if client.commands.get() > 0 && !is_clients_end && !is_closed_by_client() {
+        guard::report(Violation::ClosedUnanswered, &format!("{:?}", client.close_reason()));
+    }
     // Nothing was written to an evicted client without a request, so nothing of it can be lost.
     if is_graceful && !(client.is_evicted.get() && client.is_unused()) {
         let stream = connection.into_parts().io.into_inner().stream;
--- a/crates/node/src/dispatcher.rs
+++ b/crates/node/src/dispatcher.rs
@@ -4,6 +4,7 @@
 
 use crate::command_ids::{CommandIds, IdHash, MIN_RETENTION};
 use crate::counts::{CommandRecorder, Counts};
+use crate::guard::{EarlierLaunch, LaunchFacts};
 use crate::launch_types::LaunchResult;
 use crate::log::log;
 use crate::names::Names;
@@ -91,16 +92,39 @@
     backend_ids: HashMap<String, BackendId>,
     /// Indexed by `BackendId`. A backend that is gone keeps its id and has no address.
     addresses: Vec<Option<SocketAddr>>,
-    /// When each backend started according to its latest entry, indexed in the same way.
+    /// When each backend started according to its latest entry, and since when it is not ready, indexed in the same way.
     started_at: Vec<Timestamp>,
+    not_ready_since: Vec<Option<Timestamp>>,
     accepted_commands: u32,
+    settings: DispatchSettings,
+    /// The number of nodes that share the common budgets and this node's index among them, as the fleet view
+    /// has it; `None` without a view.
+    node_share: Option<NodeShare>,
+}
+
+/// What the dispatcher needs of the settings in force.
+#[derive(Clone, Copy, Debug)]
+pub struct DispatchSettings {
     /// A backend that reports itself full may nevertheless have run the command.
     full_may_have_run: bool,
     /// The longest `Retry-After` that may be sent; zero if none may be sent.
     max_retry_after: Micros,
-    /// The number of nodes that share the common budgets and this node's index among them, as the fleet view
-    /// has it; `None` without a view.
-    node_share: Option<NodeShare>,
+    /// What is allowed for launches of all classes.
+    drain_grace: Micros,
+    max_launches: usize,
+    concurrent_launches_allowed: bool,
+}
+
+impl DispatchSettings {
+    pub fn of(settings: &Settings) -> DispatchSettings {
+        DispatchSettings {
+            full_may_have_run: settings.full_may_have_run,
+            max_retry_after: settings.max_retry_after,
+            drain_grace: settings.drain_grace,
+            max_launches: settings.max_launches,
+            concurrent_launches_allowed: settings.concurrent_launches_allowed,
+        }
+    }
 }
 
 /// The number of nodes that share the common budgets, and this node's index among them. After `valid_until`
@@ -142,7 +166,7 @@
         timer_resolution: Duration,
         actions: mpsc::UnboundedSender<Action>,
         (counts, site_evidence): (Option<Rc<Counts>>, Option<Rc<SiteEvidence>>),
-        (full_may_have_run, max_retry_after): (bool, Micros),
+        settings: DispatchSettings,
     ) -> Dispatcher {
         let (commands_in_flight, backend_ids) = (Slab::new(), HashMap::new());
         let (command_ids, addresses) = (HashSet::new(), Vec::new());
@@ -158,9 +182,9 @@
             backend_ids,
             addresses,
             started_at: Vec::new(),
+            not_ready_since: Vec::new(),
+            settings,
             accepted_commands,
-            full_may_have_run,
-            max_retry_after,
             node_share,
         };
         let inner = RefCell::new(inner);
@@ -380,8 +404,7 @@
     pub fn replace_settings(&self, names: Names, settings: Settings) {
         self.with_balancer(|inner, _| {
             inner.names = Rc::new(names);
-            inner.full_may_have_run = settings.full_may_have_run;
-            inner.max_retry_after = settings.max_retry_after;
+            inner.settings = DispatchSettings::of(&settings);
             inner.balancer.replace_settings(settings);
             if let Some(node_share) = inner.node_share {
                 inner.balancer.set_membership(node_share.node_count, node_share.node_index);
@@ -394,7 +417,7 @@
 
     /// The longest `Retry-After` that may be sent; zero if none may be sent.
     pub fn max_retry_after(&self) -> Micros {
-        self.inner.borrow().max_retry_after
+        self.inner.borrow().settings.max_retry_after
     }
 
     /// For each of these sites: how many of its backends are listed as ready, and how many of those are
@@ -419,7 +442,7 @@
 
     /// Whether a backend that reports itself full may nevertheless have run the command.
     pub fn full_may_have_run(&self) -> bool {
-        self.inner.borrow().full_may_have_run
+        self.inner.borrow().settings.full_may_have_run
     }
 
     /// Takes over the share that the fleet view has computed for this node.
@@ -480,6 +503,44 @@
         inner.balancer.launch_valid_until(&inner.commands_in_flight[handle.0 as usize].command, number)
     }
 
+    /// What is known of a launch, for the check before it is written.
+    pub fn launch_facts(&self, handle: CommandHandle, number: u8) -> Option<LaunchFacts> {
+        let inner = self.inner.borrow();
+        let entry = inner.commands_in_flight.get(handle.0 as usize)?;
+        let (_, profile) = inner.names.definition(entry.command.profile)?;
+        let launches: Vec<_> = entry.command.launches().collect();
+        let launch = launches.get(usize::from(number))?;
+        let earlier = launches.iter().take(number.into()).map(|earlier| EarlierLaunch {
+            state: earlier.state,
+            zone: earlier.zone,
+            group: earlier.group,
+            sent_at: earlier.sent_at,
+        });
+        let limits = inner.settings;
+        Some(LaunchFacts {
+            now: self.clock.now(),
+            client_done: entry.client_done,
+            deadline: (!entry.command.is_body_incomplete).then_some(entry.command.deadline),
+            not_ready_since: inner.not_ready_since[launch.backend.0 as usize],
+            drain_grace: limits.drain_grace,
+            zone: launch.zone,
+            group: launch.group,
+            earlier: earlier.collect(),
+            idempotency: profile.idempotency,
+            dedup_scope: profile.dedup_scope,
+            dedup_window: profile.dedup_window,
+            max_launches: limits.max_launches,
+            concurrent_launches_allowed: limits.concurrent_launches_allowed,
+        })
+    }
+
+    /// The number of commands whose clients wait for an answer that has not begun.
+    pub fn unanswered_count(&self) -> usize {
+        let inner = self.inner.borrow();
+        let is_unanswered = |entry: &CommandInFlight| !entry.client_done && !entry.command.is_closed;
+        inner.commands_in_flight.iter().filter(|(_, entry)| is_unanswered(entry)).count()
+    }
+
     /// How long until the balancer must be asked about this command again; `None` if it need not be.
     pub fn time_until_check(&self, handle: CommandHandle) -> Option<Duration> {
         let inner = self.inner.borrow();
@@ -520,7 +581,8 @@
             entries.iter().for_each(|(entry, _)| site_evidence.set_site(entry.backend, entry.zone.0));
         }
         self.with_balancer(|inner, now| {
-            if kind == ListUpdateKind::Snapshot || kind == ListUpdateKind::Cached {
+            let is_whole_list = matches!(kind, ListUpdateKind::Snapshot | ListUpdateKind::Cached);
+            if is_whole_list {
                 inner.addresses.fill(None);
             }
             for (entry, address) in entries {
@@ -531,6 +593,7 @@
             if !replaced.is_empty() {
                 log!("list: {} backends left out, as newer ones have their addresses", replaced.len());
             }
+            inner.record_states(now, is_whole_list, entries, &replaced);
             let listed = entries.iter().map(|(entry, _)| *entry);
             inner.balancer.apply_list(now, kind, listed.chain(replaced));
         });
@@ -560,6 +623,7 @@
         inner.backend_ids.insert(name.to_owned(), id);
         inner.addresses.push(None);
         inner.started_at.push(Timestamp(0));
+        inner.not_ready_since.push(None);
         id
     }
 
@@ -662,6 +726,29 @@
 }
 
 impl Inner {
+    /// Records since when backends are not ready, for the check of launches: apart from what the balancer knows of them.
+    fn record_states(
+        &mut self,
+        now: Timestamp,
+        is_whole_list: bool,
+        entries: &[AddressedEntry],
+        replaced: &[ListEntry],
+    ) {
+        let listed = || entries.iter().map(|(entry, _)| entry).chain(replaced);
+        if is_whole_list {
+            let is_listed: HashSet<u32> = listed().map(|entry| entry.backend.0).collect();
+            let unlisted = (0u32..).zip(&mut self.not_ready_since).filter(|(id, _)| !is_listed.contains(id));
+            unlisted.for_each(|(_, since)| *since = since.or(Some(now)));
+        }
+        for entry in listed() {
+            let since = &mut self.not_ready_since[entry.backend.0 as usize];
+            *since = match entry.state {
+                BackendState::Ready => None,
+                _ => since.or(Some(now)),
+            };
+        }
+    }
+
     /// Removes the backends at whose address one of these entries has a process that started later: whatever is sent
     /// there reaches the new process. Returns entries that say that they are gone.
     fn remove_replaced(&mut self, entries: &[AddressedEntry]) -> Vec<ListEntry> {
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -7,6 +7,7 @@
 use crate::bodies::BodyMemory;
 use crate::command_ids::IdHash;
 use crate::dispatcher::Dispatcher;
+use crate::guard::{self, Violation};
 use crate::lifecycle::Lifecycle;
 use crate::limits::Limits;
 use crate::log::log;
@@ -288,7 +289,8 @@
                     self.dispatcher.set_predecessor_running(true);
                     tokio::task::spawn_local(self.clone().run_link(Reader::new(read), link.clone()));
                     if !link.send_and_wait(Message::Ready, self.limits.peer_timeout).await {
-                        log!("handover: the old process has not confirmed that it stopped accepting");
+                        let what = "the old process has not confirmed that it stopped accepting";
+                        guard::report(Violation::StartedBesideAnother, what);
                     }
                 }
                 Err(error) => log!("handover: {error}"),
--- a/crates/node/src/launch.rs
+++ b/crates/node/src/launch.rs
@@ -2,6 +2,7 @@
 
 use crate::bodies::{OutgoingBody, ReadBody, StreamEnd};
 use crate::dispatcher::Dispatcher;
+use crate::guard::{self, LaunchFacts};
 use crate::launch_types::{
     BackendAnswer, LaunchControl, LaunchResult, OutboundRequest, RequestBody, TIME_LEFT_HEADER,
 };
@@ -34,6 +35,9 @@
 /// An answer that has begun is passed on this long before its client's time is over at the latest.
 const STREAM_BEFORE_DEADLINE: Duration = Duration::from_millis(20);
 
+/// The clock goes on between two readings of it.
+const TELL_TOLERANCE: Duration = Duration::from_millis(1);
+
 /// One launch of a command, addressed to a backend.
 pub struct Launch {
     pub outbound: Rc<OutboundRequest>,
@@ -115,8 +119,9 @@
             // Check once more: the conditions under which the launch was placed may have changed while it
             // waited for a connection, or while a pooled connection turned out to be closed.
             let is_at_address = self.dispatcher.address(backend) == Some(address);
-            let is_still_valid =
-                self.dispatcher.clock.now() < self.dispatcher.launch_valid_until(launch.handle, number);
+            let facts = self.dispatcher.launch_facts(launch.handle, number);
+            let now = facts.as_ref().map_or_else(|| self.dispatcher.clock.now(), |facts| facts.now);
+            let is_still_valid = now < self.dispatcher.launch_valid_until(launch.handle, number);
             if launch.control.is_cancelled() || !is_at_address || !is_still_valid {
                 // The connection is already open, so it goes to the pool. If its backend is no longer
                 // listed, the sweep closes it.
@@ -124,6 +129,13 @@
                 return_body(&launch, request);
                 return result;
             }
+            if let Some(violation) = facts.as_ref().and_then(LaunchFacts::violation) {
+                let name = self.dispatcher.backend_name(backend);
+                guard::report(violation, &format!("launch {number} to {name}, {facts:?}"));
+                self.pool.give_back(backend, lease);
+                return_body(&launch, request);
+                return result;
+            }
             launch.control.set_may_be_written(true);
             // The time left is set just before the write. When it was set before the wait for a connection,
             // it promised the backend time that the client no longer had. For a streaming body it counts
@@ -132,6 +144,14 @@
                 Some(body) => body.time_left(),
                 None => Duration::from_micros(launch.deadline.since(self.dispatcher.clock.now()).0),
             };
+            let client_deadline = facts.and_then(|facts| facts.deadline);
+            let remaining = match client_deadline {
+                Some(deadline) => {
+                    let left = deadline.since(self.dispatcher.clock.now());
+                    guard::time_to_tell(remaining, Duration::from_micros(left.0) + TELL_TOLERANCE)
+                }
+                None => remaining,
+            };
             let remaining_ms = remaining.as_millis() as u64;
             request.headers_mut().insert(TIME_LEFT_HEADER, HeaderValue::from(remaining_ms));
             let deadline_passed = wait_out_of_time(&launch.outbound, deadline);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 mod counts;
 mod dispatcher;
 mod fleet;
+mod guard;
 mod handover;
 mod held_back;
 mod launch;
@@ -98,7 +99,7 @@
     let clock = Clock::start();
     let (list_is_requested, warm_up_time) = (config.settings.list_is_requested, config.settings.warm_up_time);
     let list_request_interval = Duration::from_micros(config.settings.list_request_interval.0);
-    let reply_settings = (config.settings.full_may_have_run, config.settings.max_retry_after);
+    let dispatch_settings = dispatcher::DispatchSettings::of(&config.settings);
     let (action_sender, mut actions) = mpsc::unbounded_channel();
     let balancer = Balancer::new(config.settings, config.seed, clock.now());
     let site_evidence = config.sites.as_ref().map(|_| Rc::new(site_evidence::SiteEvidence::default()));
@@ -110,7 +111,7 @@
         limits.timer_resolution,
         action_sender,
         (counts, site_evidence.clone()),
-        reply_settings,
+        dispatch_settings,
     ));
     let body_memory = bodies::BodyMemory::new(limits.body_memory_bytes);
     let pool = Rc::new(pool::Pool::new(limits.clone(), body_memory.clone()));
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -48,6 +48,11 @@
     /// Pooled connections that turned out to be closed by their backend.
     StaleConnections => "stale_connections",
     Panics => "panics",
+    /// Invariants that were violated, or would have been (see `guard`).
+    SendViolations => "send_violations",
+    RepeatViolations => "repeat_violations",
+    CloseViolations => "close_violations",
+    StartViolations => "start_violations",
 }
 
 thread_local! {
--- a/crates/node/src/request_framing.rs
+++ b/crates/node/src/request_framing.rs
@@ -311,7 +311,7 @@
 }
 
 /// Whether the client has closed its side, even if data that it sent before is still unread.
-fn is_closed_by_peer(stream: &TcpStream) -> bool {
+pub fn is_closed_by_peer(stream: &TcpStream) -> bool {
     let ready = pin!(stream.ready(Interest::READABLE)).poll(&mut Context::from_waker(Waker::noop()));
     matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
 }
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -278,6 +278,12 @@
         let _ = self.process.kill();
         let _ = self.process.wait();
         let _ = std::fs::remove_dir_all(&self.dir);
+        // The node checks its own invariants, whatever a test is about.
+        let mut log = Vec::new();
+        let _ = self.log.read_to_end(&mut log);
+        let log = String::from_utf8_lossy(&log);
+        let violated = log.lines().find(|line| line.starts_with("invariant violated"));
+        assert!(violated.is_none() || std::thread::panicking(), "{violated:?}");
     }
 }
 
