Let a broken answer end only after what had come of it is written

Cause: at an error of a streamed body hyper closes at once, and what it has not flushed is gone; an answer that is passed on shortly before its time and breaks at once was all in that buffer.

--- a/crates/node/src/bodies.rs
+++ b/crates/node/src/bodies.rs
@@ -167,7 +167,8 @@
     /// Reads a body, or the beginning of one that exceeds the window. A body whose announced length exceeds
     /// the maximum is rejected at once.
     ///
-    /// With `stream_by`, a body of which some has come by this time is streamed from then on.
+    /// With `stream_by`, a body of unknown length of which some has come by this time is streamed from then on: it may be a
+    /// long one.
     pub async fn read(
         &self,
         mut body: Incoming,
@@ -178,6 +179,7 @@
         let mut abandoned = pin!(abandoned);
         let announced_bytes = body.size_hint().lower();
         let has_known_length = body.size_hint().exact().is_some();
+        let stream_by = stream_by.filter(|_| !has_known_length);
         let exceeds_window = announced_bytes > limits.window_bytes as u64;
         if announced_bytes > limits.max_bytes as u64 {
             return Err(ReadError::TooLarge);
@@ -237,6 +239,7 @@
             window_bytes: limits.window_bytes,
             completion_timer: None,
             pauses,
+            failure: None,
             reservation,
             on_end: None,
             kept_alive: None,
@@ -273,6 +276,8 @@
     /// When a body that is not long must have come to its end.
     completion_timer: Option<Box<CompletionTimer>>,
     pauses: Pauses,
+    /// The error with which the body has ended, until its reader has it.
+    failure: Option<ReadError>,
     #[allow(dead_code, reason = "held for its reservation in the memory budget")]
     reservation: WindowReservation,
     /// Called once with how the body ended.
@@ -388,6 +393,15 @@
         self.completion_timer.as_mut().is_some_and(|completion| completion.timer.as_mut().poll(cx).is_ready())
     }
 
+    /// Ends the body as broken. Its reader learns that at the next poll: at an error it drops what it has not sent yet,
+    /// which may be all that its own peer would have seen.
+    fn fail<T>(&mut self, error: ReadError, cx: &mut Context<'_>) -> Poll<T> {
+        self.finish(StreamEnd::Broken);
+        self.failure = Some(error);
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }
+
     fn finish(&mut self, end: StreamEnd) {
         self.remainder = None;
         if let Some(on_end) = self.on_end.take() {
@@ -426,6 +440,9 @@
         if let Some(buffered) = self.buffered.take() {
             return Poll::Ready(Some(Ok(Frame::data(buffered))));
         }
+        if let Some(error) = self.failure.take() {
+            return Poll::Ready(Some(Err(error)));
+        }
         loop {
             let Some(remainder) = &mut self.remainder else { return Poll::Ready(None) };
             let Poll::Ready(frame) = Pin::new(remainder).poll_frame(cx) else {
@@ -434,22 +451,19 @@
                 if silence_timer.as_mut().poll(cx).is_pending() && !self.is_overdue(cx) {
                     return Poll::Pending;
                 }
-                self.finish(StreamEnd::Broken);
-                return Poll::Ready(Some(Err(ReadError::TooSlow)));
+                return self.fail(ReadError::TooSlow, cx);
             };
             self.silence_timer = None;
             let data = match frame {
                 None if self.is_cut.get() => {
-                    self.finish(StreamEnd::Broken);
-                    return Poll::Ready(Some(Err(ReadError::Broken)));
+                    return self.fail(ReadError::Broken, cx);
                 }
                 None => {
                     self.finish(StreamEnd::Complete);
                     return Poll::Ready(None);
                 }
                 Some(Err(_)) => {
-                    self.finish(StreamEnd::Broken);
-                    return Poll::Ready(Some(Err(ReadError::Broken)));
+                    return self.fail(ReadError::Broken, cx);
                 }
                 Some(Ok(frame)) => frame.into_data(),
             };
@@ -457,8 +471,7 @@
             let Ok(data) = data else { continue };
             self.count_data(data.len());
             if self.received_bytes > self.max_bytes {
-                self.finish(StreamEnd::Broken);
-                return Poll::Ready(Some(Err(ReadError::TooLarge)));
+                return self.fail(ReadError::TooLarge, cx);
             }
             if self.remainder.as_ref().is_some_and(Body::is_end_stream) {
                 self.finish(StreamEnd::Complete);
--- a/crates/node/tests/waiting.rs
+++ b/crates/node/tests/waiting.rs
@@ -485,6 +485,41 @@
     assert_eq!(cut, [""; 0]);
 }
 
+/// Guards against an end with no byte of an answer: one that breaks as soon as it has begun is answered by an error, or by as much
+/// of it as had come. The failure: the beginning was still in a buffer when the connection was closed.
+#[test]
+fn answers_that_break_near_the_deadline_do_not_end_in_silence() {
+    const BEGINNING: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nd\r\nthe beginning\r\n";
+    let run = |delay_ms: u64| {
+        let start_backends = |host: &str, _: &Launches, _: &_| {
+            let (listener, address) = bind_listener(host);
+            spawn(move || {
+                for mut stream in listener.incoming().flatten() {
+                    spawn(move || {
+                        if read_message(&mut stream).is_some() {
+                            sleep(Duration::from_millis(delay_ms));
+                            let _ = stream.write_all(BEGINNING);
+                        }
+                    });
+                }
+            });
+            vec![backend_entry("breaks", address)]
+        };
+        let fixture = NodeFixture::with_backends(start_backends, with_limits, &[]);
+        let mut stream = fixture.connect();
+        stream.write_all(timed_request("pay", "a body").as_bytes()).expect("written");
+        let mut received = [0; 12];
+        let is_begun = stream.read_exact(&mut received).is_ok();
+        (!is_begun).then(|| format!("after {delay_ms} ms: an end with no answer"))
+    };
+    let silent: Vec<String> = scope(|scope| {
+        let delays = (560..640).step_by(2);
+        let runs: Vec<_> = delays.map(|delay_ms| scope.spawn(move || run(delay_ms))).collect();
+        runs.into_iter().filter_map(|run| run.join().expect("a run")).collect()
+    });
+    assert_eq!(silent, [""; 0]);
+}
+
 /// A body that was put back, as no backend could be reached, is let go with its command: what is left of it is drained, and its
 /// client reads the answer. The failure: the body and its command held each other for good.
 #[test]
