--- a/crates/rehearsal/src/judge/rules.rs
+++ b/crates/rehearsal/src/judge/rules.rs
@@ -29,6 +29,9 @@
     /// Views of the membership that did not agree in time, or went back to an older state of a member.
     #[serde(default)]
     pub views: u64,
+    /// Violations of the invariants that the nodes check themselves, and panics in nodes.
+    #[serde(default)]
+    pub invariants: u64,
     /// Descriptions of the first violations, with their time.
     pub cases: Vec<String>,
 }
@@ -48,6 +51,7 @@
             + self.deaths
             + self.portions
             + self.views
+            + self.invariants
     }
 }
 
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -83,6 +83,9 @@
         /// One seed, or the first and the last as `1..50`, both included.
         #[arg(long)]
         seeds: soak::SeedRange,
+        /// Fleets of ten to forty nodes, with more troubles at the same time.
+        #[arg(long)]
+        large: bool,
         /// The folder for the nodes' logs, with a subfolder for each seed.
         #[arg(long, value_name = "DIR")]
         logs: Option<PathBuf>,
@@ -308,9 +311,11 @@
             println!("{} rule violations; scenario written to {}", shrunk.loss.violations, out.display());
             Ok(if shrunk.loss.violations > 0 { EXIT_VIOLATED_OR_WORSE } else { 0 })
         }
-        Command::Soak { seeds, logs, node } => {
+        Command::Soak { seeds, large, logs, node } => {
+            let fleet_size = if large { soak::FleetSize::Large } else { soak::FleetSize::Usual };
             let program = node.map_or_else(program::node_binary, Ok)?;
-            let summary = soak::run(seeds, &program, logs.as_deref(), &mut |line| println!("{line}"))?;
+            let summary =
+                soak::run(seeds, fleet_size, &program, logs.as_deref(), &mut |line| println!("{line}"))?;
             println!("{summary}");
             Ok(if summary.failed > 0 { EXIT_VIOLATED_OR_WORSE } else { u8::from(summary.inconclusive > 0) })
         }
--- a/crates/rehearsal/src/rng.rs
+++ b/crates/rehearsal/src/rng.rs
@@ -21,6 +21,8 @@
     /// Troubles that cross in a soak's worlds. They have a stream of their own so that the rest of a seed's world stays the
     /// same.
     Crossings = 9,
+    /// What a soak with large fleets adds to its worlds.
+    LargeFleets = 10,
     /// The first of the streams of the backends, one for each.
     Backends = 1 << 32,
 }
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -78,6 +78,9 @@
     /// One in this many accepts, or outgoing connections, of the nodes fails; 0 means none.
     pub failing_accepts: u32,
     pub failing_dials: u32,
+    /// The size in bytes of the kernel's record of a TCP connection, as another version of Linux has it; 0 means the size of
+    /// this machine's kernel.
+    pub tcp_info_bytes: u32,
 }
 
 /// The timing of the nodes' view of the membership.
--- a/crates/rehearsal/src/soak/generator.rs
+++ b/crates/rehearsal/src/soak/generator.rs
@@ -12,6 +12,9 @@
 const EARLIEST_TROUBLE_MS: u64 = 2_500;
 const LATE_TROUBLE_START_MS: u64 = 6_000;
 const LATEST_TROUBLE_MS: u64 = 10_000;
+/// The idle connections of all nodes together, and how long the calls of all of them for the list wait, in a large fleet.
+const LARGE_CROWD: u32 = 1500;
+const LONGEST_LIST_QUEUE_MS: u64 = 1500;
 /// Time limits of commands.
 const TIME_LIMITS_MS: [u64; 5] = [150, 400, 1000, 2500, 5000];
 /// With this factor on the work of its commands, a scenario leaves its backends little spare capacity.
@@ -67,6 +70,34 @@
     scenario
 }
 
+/// The sizes that the kernel's record of a TCP connection has in versions of Linux.
+const TCP_INFO_BYTES: [u32; 4] = [104, 192, 232, 240];
+
+/// Generates the scenario of a seed with a fleet of 10 to 40 nodes, more troubles at the same time, and nodes on other versions of
+/// the kernel.
+pub fn generate_large_scenario(seed: u64) -> Scenario {
+    let mut scenario = generate_scenario(seed);
+    let mut rng = SeededRng::new(seed, RngStream::LargeFleets);
+    let nodes = 10 + rng.below(31) as u32;
+    scenario.name = format!("large-soak-{seed}");
+    scenario.nodes = nodes;
+    scenario.load.per_s = scenario.load.per_s.map(|per_s| per_s + 2.0 * f64::from(nodes));
+    for _ in 0..1 + rng.below(2) {
+        let kinds = [TroubleKind::Stalls, TroubleKind::Hangs, TroubleKind::Resets, TroubleKind::LostAnswers];
+        let kind = kinds[rng.below(kinds.len())];
+        scenario.troubles.push(draw_trouble(&mut rng, kind, EARLIEST_TROUBLE_MS));
+    }
+    let stress = scenario.stress.get_or_insert_default();
+    stress.idle_crowd = stress.idle_crowd.min(LARGE_CROWD / nodes);
+    stress.list_turn = stress.list_turn.min(Time::millis(LONGEST_LIST_QUEUE_MS / u64::from(nodes)));
+    if rng.chance(0.5) {
+        stress.tcp_info_bytes = TCP_INFO_BYTES[rng.below(TCP_INFO_BYTES.len())];
+    }
+    let kinds: Vec<&str> = scenario.troubles.iter().map(|trouble| trouble.kind.label()).collect();
+    scenario.about = format!("{nodes} nodes: {}", kinds.join(", "));
+    scenario
+}
+
 /// Adds some of these: profiles with different time limits, backends that start colder and have more work, and
 /// configurations that move discovery during other troubles.
 fn add_variations(rng: &mut SeededRng, scenario: &mut Scenario) {
@@ -189,7 +220,7 @@
 
 #[cfg(test)]
 mod tests {
-    use super::generate_scenario;
+    use super::{generate_large_scenario, generate_scenario};
 
     /// A seed always generates the same valid scenario, and the next seed another one.
     #[test]
@@ -200,6 +231,9 @@
             let scenario_text = |seed| toml::to_string(&generate_scenario(seed)).expect("a text");
             assert_eq!(scenario_text(seed), scenario_text(seed));
             assert_ne!(scenario_text(seed), scenario_text(seed + 1));
+            let large = generate_large_scenario(seed);
+            assert_eq!(large.check(), Ok(()), "seed {seed}");
+            assert!((10..=40).contains(&large.nodes), "seed {seed}");
         }
     }
 }
--- a/crates/rehearsal/src/soak/mod.rs
+++ b/crates/rehearsal/src/soak/mod.rs
@@ -2,9 +2,11 @@
 //! backends and discovery observed. The same seed generates the same scenario.
 
 pub mod generator;
+mod node_logs;
 mod shim;
 
 use crate::judge::result::PlayResult;
+use crate::judge::rules::MAX_DESCRIBED_CASES;
 use crate::real::{self, NodeProcessOptions};
 use std::fmt;
 use std::ops::RangeInclusive;
@@ -56,29 +58,53 @@
     }
 }
 
-/// Plays the scenario of each seed around the program and prints at least one line for each.
+/// The size of the fleets of a soak.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum FleetSize {
+    /// Two to twenty nodes.
+    Usual,
+    /// Ten to forty nodes, with more troubles.
+    Large,
+}
+
+/// Plays the scenario of each seed around the program and prints at least one line for each. Besides the judges, the nodes' logs
+/// show violations: of the invariants that the nodes check themselves, and panics.
 pub fn run(
     seeds: SeedRange,
+    fleet_size: FleetSize,
     program: &Path,
     log_dir: Option<&Path>,
     print: &mut dyn FnMut(String),
 ) -> Result<SoakSummary, String> {
     let shim = shim::ShimLibrary::build()?;
+    let temporary_dir =
+        tempfile::tempdir().map_err(|e| format!("cannot create a directory for logs: {e}"))?;
     let mut summary = SoakSummary::default();
     for seed in seeds.0 {
-        let scenario = generator::generate_scenario(seed);
+        let scenario = match fleet_size {
+            FleetSize::Usual => generator::generate_scenario(seed),
+            FleetSize::Large => generator::generate_large_scenario(seed),
+        };
         scenario.check().map_err(|(key, reason)| format!("seed {seed}: {key}: {reason}"))?;
-        let log_dir = log_dir.map(|dir| dir.join(seed.to_string()));
+        let log_dir = log_dir.unwrap_or(temporary_dir.path()).join(seed.to_string());
         let environment = shim.environment(scenario.stress.as_ref());
-        let options =
-            NodeProcessOptions { program: program.to_owned(), log_dir, arguments: Vec::new(), environment };
-        let (played, _) = real::play(&scenario, seed, &options, &mut |_| ())?;
+        let options = NodeProcessOptions {
+            program: program.to_owned(),
+            log_dir: Some(log_dir.clone()),
+            arguments: Vec::new(),
+            environment,
+        };
+        let (mut played, _) = real::play(&scenario, seed, &options, &mut |_| ())?;
+        let own_violations = node_logs::find_violations(&log_dir)?;
+        played.rules.invariants += own_violations.len() as u64;
+        played.rules.cases.extend(own_violations.into_iter().take(MAX_DESCRIBED_CASES));
         summary.commands += played.commands;
         print(format!("seed {seed}: {}", record_verdict(&played, &mut summary)));
         if played.rules.any() {
             print(format!("  {}", scenario.about));
             played.rules.cases.iter().for_each(|case| print(format!("  {case}")));
-            print(format!("  again: yarrowfront-rehearse soak --seeds {seed} --logs DIR"));
+            let option = if fleet_size == FleetSize::Large { " --large" } else { "" };
+            print(format!("  again: yarrowfront-rehearse soak{option} --seeds {seed} --logs DIR"));
         }
     }
     Ok(summary)
@@ -96,7 +122,7 @@
     }
     summary.failed += 1;
     format!(
-        "FAILED: answers {}, effects {}, drains {}, slow starts {}, crashes {}",
-        rules.answers, rules.effects, rules.drains, rules.pushes, rules.crashes
+        "FAILED: answers {}, effects {}, drains {}, slow starts {}, crashes {}, invariants {}",
+        rules.answers, rules.effects, rules.drains, rules.pushes, rules.crashes, rules.invariants
     )
 }
--- a/crates/rehearsal/src/soak/shim.rs
+++ b/crates/rehearsal/src/soak/shim.rs
@@ -36,11 +36,14 @@
             ("SHIM_ACCEPT", stress.failing_accepts),
             ("SHIM_CONNECT", stress.failing_dials),
         ];
-        if calls_per_failure.iter().all(|(_, calls)| *calls == 0) {
+        // A record of no bytes would mean a kernel that does not know it.
+        let record_bytes =
+            (stress.tcp_info_bytes > 0).then_some(("SHIM_TCP_INFO_BYTES", stress.tcp_info_bytes));
+        if calls_per_failure.iter().all(|(_, calls)| *calls == 0) && record_bytes.is_none() {
             return Vec::new();
         }
-        let calls_per_failure = calls_per_failure.map(|(name, calls)| (name.to_owned(), calls.to_string()));
         let preload = ("LD_PRELOAD".to_owned(), self.path.display().to_string());
-        calls_per_failure.into_iter().chain([preload]).collect()
+        let numbers = calls_per_failure.into_iter().chain(record_bytes);
+        numbers.map(|(name, number)| (name.to_owned(), number.to_string())).chain([preload]).collect()
     }
 }
