--- a/crates/node/src/list_watches.rs
+++ b/crates/node/src/list_watches.rs
@@ -22,6 +22,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::panic::resume_unwind;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch, Notify};
@@ -133,12 +134,13 @@
                         self.start_call(&mut open);
                     }
                 }
-                Some(task) = open.tasks.join_next(), if !open.tasks.is_empty() => {
+                Some(task) = open.tasks.join_next(), if !open.tasks.is_empty() => match task {
+                    Ok((call, end)) => self.handle_end(&mut open, call, end),
+                    // Its call would count as open for good, and no other would be made.
+                    Err(error) if error.is_panic() => resume_unwind(error.into_panic()),
                     // A call that was aborted because a later one was answered has nothing to report.
-                    if let Ok((call, end)) = task {
-                        self.handle_end(&mut open, call, end);
-                    }
-                }
+                    Err(_) => {}
+                },
             }
         }
     }
