--- a/crates/node/tests/system_calls.rs
+++ b/crates/node/tests/system_calls.rs
@@ -106,8 +106,8 @@
     assert_eq!(failed_commands(&fixture, "pay"), [""; 0]);
 }
 
-/// The sizes that the kernel's record of a TCP connection has had: Linux 2.6, 4.9, 5.4, 5.5 to 6.6, later; then sizes that end
-/// within a field that is used, and 0 for kernels without this record.
+/// Sizes of the kernel's record of a TCP connection, the operators' and this machine's among them; then sizes that end before or
+/// within the field that is used, and 0 for kernels without this record.
 const TCP_INFO_BYTES: [&str; 8] = ["104", "192", "232", "240", "280", "55", "1", "0"];
 
 /// Guards against processes that end at their first connection because the kernel's record of it is shorter than at build time.
--- a/crates/rehearsal/src/soak/generator.rs
+++ b/crates/rehearsal/src/soak/generator.rs
@@ -70,7 +70,7 @@
     scenario
 }
 
-/// The sizes that the kernel's record of a TCP connection has in versions of Linux.
+/// Sizes of the kernel's record of a TCP connection that are shorter than at build time.
 const TCP_INFO_BYTES: [u32; 4] = [104, 192, 232, 240];
 
 /// Generates the scenario of a seed with a fleet of 10 to 40 nodes, more troubles at the same time, and nodes on other versions of
